--- /dev/null
+++ b/balancer/api.go
@@ -0,0 +1,221 @@
+// Package balancer makes the decisions of a client-side load balancer that runs as a sidecar.
+//
+// This file is the whole interface: Settings, events in, actions out. The decisions are in balancer.go.
+// A sidecar calls New once, then Handle for each thing that happens, and carries out the actions in order.
+// The package does no I/O and reads no clock; a Balancer is not safe for concurrent use.
+package balancer
+
+import "time"
+
+// Effect says what a second run of a request would do.
+type Effect int
+
+// The three effects. Anything else makes New fail.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // upstreams of one Group drop repeats within Window
+	Unsafe               // must not run twice
+)
+
+// Group is the set of upstreams that share the memory of a keyed request.
+type Group int
+
+// The groups of keyed classes.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Class describes one kind of request.
+type Class struct {
+	Name       string
+	Aim        time.Duration // answers within it earn full worth; absent: Deadline
+	AimStretch float64       // the aim grows by this multiple of the request's own work
+	Deadline   time.Duration // what a client waits over all of its tries
+	Worth      float64       // absent: 1
+	LateShare  float64       // share of the worth still earned after the aim
+	Effect     Effect
+	Group      Group
+	Window     time.Duration // keyed: how long repeats are dropped
+	Stream     bool
+}
+
+// Tenant is one of the parties that share the fleet.
+type Tenant struct {
+	Name     string
+	Fraction float64 // its share of the service
+}
+
+// Settings is what a sidecar is told at its start. Absent (zero) values mean: feature not allowed, price nil.
+type Settings struct {
+	Balancers int    // sidecars of this tier in all; absent: 1
+	Zone      string // this sidecar's zone
+	Classes   []Class
+	Tenants   []Tenant
+
+	MustSubscribe bool          // the list comes only to those who ask
+	Tick          time.Duration // least time between two calls of Handle; absent: 1 ms
+
+	MaxAttempts    int // absent: 1
+	SecondCopies   bool
+	Cancelling     bool
+	Probes         bool
+	WarmKeys       bool // an upstream that served a key lately needs less work for it
+	LoadByProbes   bool // probe results tell what an upstream holds
+	RetryAfter     bool
+	MaxRetryAfter  time.Duration
+	ConnectTimeout time.Duration
+
+	PriceCrossZone float64 // points of service for crossing zones once a request
+	PriceOpen      float64 // points of service for a mean of 100 open connections an upstream
+	PriceHandshake float64 // points of service for a new connection a request
+	PriceProbe     float64 // points of service for one probe a request
+	OverShareWorth float64 // worth of a request beyond its tenant's share, as a fraction
+	WorthByWork    bool    // worth counts by unit of work
+
+	ColdFrom     float64       // a started upstream has at least this share of its capacity; absent: 1
+	WarmUp       time.Duration // and is warm after at most this long
+	FallMultiple float64       // times present capacity that pushes it over; absent: no such rule
+	FallTime     time.Duration // when kept up for this long
+}
+
+// Event is anything a sidecar reports: Members, Request, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+type Event interface{ event() }
+
+// State is an upstream's state in the list.
+type State int
+
+// States of list entries.
+const (
+	Active State = iota
+	Leaving
+	Left
+)
+
+// Member is an entry of the list of upstreams.
+type Member struct {
+	Upstream, Zone string
+	Kind           string // of machine; upstreams of one kind are taken to be alike until heard of
+	Cell           int
+	State          State
+	CameUp         time.Duration // clock time of its latest start; 0: long ago
+}
+
+// MembersKind says how a list is to be read.
+type MembersKind int
+
+// The kinds of Members events.
+const (
+	Full   MembersKind = iota // the whole list
+	Change                    // changed entries only
+	Saved                     // the whole list as last held; may be stale
+	Failed                    // a Subscribe or Fetch failed, or the subscription broke
+)
+
+// Members brings the list of upstreams, or news of it.
+type Members struct {
+	Kind    MembersKind
+	Entries []Member
+}
+
+// Request is a client's request, to be answered exactly once before Expires.
+type Request struct {
+	ID, Class, Tenant string
+	Key               string        // what the request is about; may be absent
+	Expires           time.Duration // clock time
+	Hint              time.Duration // expected work; 0: unknown
+}
+
+// FirstByte says that a streamed answer has begun.
+type FirstByte struct {
+	ID      string
+	Attempt int
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// Results of attempts and probes.
+const (
+	OK            Result = iota
+	ServerError          // error answer; may have run
+	Overloaded           // turned away unseen (queue full, draining): did not run
+	Timeout              // no answer in time; may have run
+	ConnectFailed        // did not run
+	Reset                // connection broke; may have run
+	Cancelled            // may have run
+	Moot                 // never sent
+)
+
+// Load is what an upstream says of itself, late and roughly.
+type Load struct {
+	Told bool    // the report came and says what the upstream holds
+	Held float64 // requests it holds, running or waiting
+}
+
+// Outcome ends an attempt. Each Send has exactly one.
+type Outcome struct {
+	ID       string
+	Attempt  int
+	Result   Result
+	Elapsed  time.Duration
+	Finished bool // the request has its final answer
+}
+
+// Gone says that the client left: no answer is owed any more.
+type Gone struct{ ID string }
+
+// Wake is the timer set by the last SetTimer.
+type Wake struct{}
+
+// ProbeResult ends a probe.
+type ProbeResult struct {
+	Upstream string
+	Result   Result
+	Elapsed  time.Duration
+	Load     Load
+}
+
+// Peer is a message from another sidecar. The module sends none, and ignores it.
+type Peer struct {
+	From    int
+	Message string
+}
+
+func (Members) event()     {}
+func (Request) event()     {}
+func (FirstByte) event()   {}
+func (Outcome) event()     {}
+func (Gone) event()        {}
+func (Wake) event()        {}
+func (ProbeResult) event() {}
+func (Peer) event()        {}
+
+// ActionKind tells actions apart.
+type ActionKind int
+
+// What a sidecar can be asked to do.
+const (
+	Send      ActionKind = iota // start the request's next attempt at Upstream, ending after Timeout
+	Cancel                      // stop waiting for attempt number Attempt
+	Refuse                      // final answer: not done, trying again is harmless; RetryIn is advice
+	Fail                        // final answer: no promise
+	SetTimer                    // report Wake at time At; an earlier SetTimer may be dropped
+	Subscribe                   // ask for the list and its changes
+	Close                       // close the idle connections to Upstream
+	Probe                       // ask Upstream for its load; answered by a ProbeResult
+	Log                         // a line for the operators
+)
+
+// Action is one thing to do. Only the fields named at its Kind are set.
+type Action struct {
+	Kind     ActionKind
+	ID       string
+	Upstream string
+	Attempt  int
+	Timeout  time.Duration
+	RetryIn  time.Duration
+	At       time.Duration
+	Text     string
+}
--- /dev/null
+++ b/balancer/rules_test.go
@@ -0,0 +1,324 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+)
+
+func keyed(group Group) Settings {
+	s := testSettings()
+	s.SecondCopies = false
+	s.Classes = []Class{{Name: "k", Aim: 400 * ms, Deadline: 1500 * ms, Effect: Keyed, Group: group, Window: time.Second}}
+	return s
+}
+
+func unsafeSettings() Settings {
+	s := testSettings()
+	s.Classes = []Class{{Name: "x", Aim: 400 * ms, Deadline: 1500 * ms, Effect: Unsafe, LateShare: 0.5}}
+	return s
+}
+
+// The request's own end counts, often much sooner than its class's deadline.
+func TestAnswersBeforeItsOwnEnd(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].LateShare = 0.5
+	r := newRig(t, s)
+	r.fleet(2)
+	r.request("1", "c", 60*ms)
+	end := r.now + 60*ms
+	var got []Action
+	for r.now < end && len(finals(got)) == 0 {
+		got = r.pass(5 * ms)
+	}
+	if len(finals(got)) != 1 || r.now > end {
+		t.Fatalf("no answer by the request's end: %+v", got)
+	}
+}
+
+func TestHeldRequestIsRefusedInTime(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.wantNothing(r.request("1", "c", 100*ms)) // no upstream at all: held
+	r.wantFinal(r.pass(95*ms), Refuse)
+}
+
+func TestHeldRequestGoesOutWhenAnUpstreamComes(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.wantNothing(r.request("1", "c", 150*ms))
+	r.fleet(1)
+	r.wantSend(r.pass(20 * ms))
+}
+
+// A time-out at the deadline leaves the answer owed; without late worth it may come at the aim already.
+func TestTimeoutAtDeadlineIsAnswered(t *testing.T) {
+	r := newRig(t, unsafeSettings())
+	r.fleet(2)
+	r.wantSend(r.request("1", "x", 300*ms))
+	r.now += 300 * ms
+	r.wantFinal(r.result("1", 0, Timeout, 300*ms), Fail)
+	r.wantNothing(r.pass(time.Second))
+}
+
+func TestUnsafeGoesOnOnlyWhenProvedNotRun(t *testing.T) {
+	for res, again := range map[Result]bool{Overloaded: true, ConnectFailed: true, Moot: true,
+		ServerError: false, Timeout: false, Reset: false, Cancelled: false} {
+		r := newRig(t, unsafeSettings())
+		r.fleet(3)
+		r.wantSend(r.request("1", "x", time.Second))
+		acts := r.result("1", 0, res, 10*ms)
+		if again {
+			r.wantSend(acts)
+		} else {
+			r.wantFinal(acts, Fail)
+		}
+	}
+}
+
+func TestUnsafeHasNoSecondCopy(t *testing.T) {
+	r := newRig(t, unsafeSettings())
+	r.fleet(3)
+	r.wantSend(r.request("1", "x", time.Second))
+	if s := kinds(r.pass(900*ms), Send); len(s) > 0 {
+		t.Fatalf("second copy of an unsafe request: %+v", s)
+	}
+}
+
+func TestUnsafeRefusedWhenNothingRan(t *testing.T) {
+	s := unsafeSettings()
+	s.MaxAttempts = 1
+	r := newRig(t, s)
+	r.fleet(3)
+	r.wantSend(r.request("1", "x", time.Second))
+	r.wantFinal(r.result("1", 0, ConnectFailed, ms), Refuse)
+}
+
+// Once it may have run, a keyed request stays in its group; before that it may go anywhere.
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	for group, same := range map[Group]func(a, b Member) bool{
+		GroupAll:  func(a, b Member) bool { return true },
+		GroupZone: func(a, b Member) bool { return a.Zone == b.Zone },
+		GroupCell: func(a, b Member) bool { return a.Cell == b.Cell },
+	} {
+		list := map[string]Member{}
+		var entries []Member
+		for i, m := range []Member{{Zone: "a", Cell: 0}, {Zone: "a", Cell: 1}, {Zone: "b", Cell: 2},
+			{Zone: "b", Cell: 2}, {Zone: "a", Cell: 0}, {Zone: "b", Cell: 3}} {
+			m.Upstream = string(rune('p' + i))
+			list[m.Upstream] = m
+			entries = append(entries, m)
+		}
+		for n := range 40 {
+			r := newRig(t, keyed(group))
+			r.b.rng.Uint64() // other chances each time
+			for range n {
+				r.b.rng.Uint64()
+			}
+			r.list(Full, entries...)
+			first := list[r.wantSend(r.request("1", "k", time.Second))]
+			for _, a := range kinds(r.result("1", 0, ServerError, 10*ms), Send) {
+				if !same(first, list[a.Upstream]) {
+					t.Fatalf("group %d: %+v then %+v", group, first, list[a.Upstream])
+				}
+			}
+		}
+	}
+}
+
+// The window counts from the sending of the attempt that may have run; afterwards no attempt.
+func TestKeyedWindow(t *testing.T) {
+	s := keyed(GroupAll)
+	s.Classes[0].Window = 100 * ms
+	s.Classes[0].Aim = time.Second
+	r := newRig(t, s)
+	r.fleet(3)
+	r.wantSend(r.request("1", "k", time.Second))
+	r.now += 95 * ms
+	r.wantFinal(r.result("1", 0, Reset, 95*ms), Refuse)
+}
+
+func TestKeyedRefusal(t *testing.T) {
+	for group, want := range map[Group]ActionKind{GroupAll: Refuse, GroupZone: Fail, GroupCell: Fail} {
+		s := keyed(group)
+		s.MaxAttempts = 1
+		r := newRig(t, s)
+		r.fleet(3)
+		r.wantSend(r.request("1", "k", time.Second))
+		r.wantFinal(r.result("1", 0, Cancelled, 10*ms), want) // a cancelled attempt may have run
+	}
+}
+
+func TestNeverTwoOutWhereCopiesAreRuledOut(t *testing.T) {
+	r := newRig(t, keyed(GroupZone))
+	r.fleet(4)
+	r.wantSend(r.request("1", "k", time.Second))
+	var cancelled bool
+	for range 80 {
+		acts := r.pass(5 * ms)
+		if len(kinds(acts, Send)) > 0 {
+			t.Fatal("second attempt beside the first")
+		}
+		cancelled = cancelled || len(kinds(acts, Cancel)) > 0
+	}
+	if !cancelled {
+		t.Fatal("the silent attempt was never ended")
+	}
+}
+
+func TestDrainingAndGoneGetNothing(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(3)
+	r.list(Change, Member{Upstream: "u0", State: Leaving}, Member{Upstream: "u1", State: Left})
+	for i := range 30 {
+		if u := r.wantSend(r.request(string(rune('A'+i)), "c", time.Second)); u != "u2" {
+			t.Fatalf("sent to %s", u)
+		}
+		r.result(string(rune('A'+i)), 0, OK, 10*ms)
+		r.now += 10 * ms
+	}
+	r.list(Full) // nothing is left
+	r.wantNothing(r.request("z", "c", time.Second))
+}
+
+// A failed call is followed by another, later each time; one answer ends that.
+func TestAsksAgainWithBackoff(t *testing.T) {
+	s := testSettings()
+	s.MustSubscribe = true
+	r := newRig(t, s)
+	if n := len(kinds(r.list(Saved, Member{Upstream: "u0"}), Subscribe)); n != 1 {
+		t.Fatalf("%d calls at the start", n)
+	}
+	var waits []time.Duration
+	for range 4 {
+		asked := r.now
+		r.do(Members{Kind: Failed})
+		for len(kinds(r.pass(5*ms), Subscribe)) == 0 {
+			if r.now-asked > 20*time.Second {
+				t.Fatal("never asked again")
+			}
+		}
+		waits = append(waits, r.now-asked)
+	}
+	if waits[0] < askBase/2 || waits[3] < 2*waits[0] {
+		t.Errorf("waits %v do not grow", waits)
+	}
+	r.list(Change)
+	if n := len(kinds(r.pass(20*time.Second), Subscribe)); n != 0 {
+		t.Errorf("%d calls while subscribed", n)
+	}
+	r.do(Members{Kind: Failed}) // the subscription broke
+	if n := len(kinds(r.pass(2*time.Second), Subscribe)); n != 1 {
+		t.Errorf("%d calls after the subscription broke", n)
+	}
+}
+
+// A restart voids what was learnt of the old process, and the new one is cold.
+func TestRestartIsANewProcess(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(2)
+	r.b.ups["u0"].est = estimate{5, r.now}
+	r.b.ups["u0"].until = r.now + time.Hour
+	r.list(Change, Member{Upstream: "u0", Zone: "a", CameUp: r.now - time.Second})
+	u := r.b.ups["u0"]
+	if u.est.value > 1 || u.until != 0 || !u.cold || len(r.b.list) != 2 {
+		t.Errorf("still known: %+v", u)
+	}
+}
+
+// A cold upstream gets its warmth's share of the mean load at most, whatever goes on: first tries, retries, panic.
+func TestColdBudget(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(10)
+	n := map[string]int{}
+	id := 0
+	second := func() {
+		for range 200 { // 200 requests a second, answered at once
+			id++
+			name := string(rune('a'+id%26)) + time.Duration(id).String()
+			for _, a := range kinds(r.request(name, "c", time.Second), Send) {
+				n[a.Upstream]++
+				r.result(name, 0, OK, 5*ms)
+			}
+			r.pass(5 * ms)
+		}
+	}
+	for range 10 {
+		second()
+	}
+	for i := range 9 { // nearly the whole fleet starts anew
+		r.list(Change, Member{Upstream: "u" + string(rune('0'+i)), Zone: "a", CameUp: r.now})
+	}
+	clear(n)
+	second()
+	for i := range 9 {
+		u := "u" + string(rune('0'+i))
+		// 20 a second is the mean; at most 0.28 of its capacity is there after 1 s, and a small burst.
+		if n[u] > 8 || n[u] == 0 {
+			t.Errorf("%d requests to cold %s in its first second", n[u], u)
+		}
+	}
+}
+
+// With everything cold, work is held or refused: panic does not go round the limit.
+func TestAllCold(t *testing.T) {
+	r := newRig(t, testSettings())
+	var list []Member
+	for i := range 4 {
+		list = append(list, Member{Upstream: "u" + string(rune('0'+i)), Zone: "a", CameUp: r.now})
+	}
+	r.list(Full, list...)
+	sent, ended := 0, 0
+	for i := range 400 {
+		acts := r.request("r"+time.Duration(i).String(), "c", 150*ms)
+		acts = append(acts, r.pass(5*ms)...)
+		for _, a := range kinds(acts, Send) {
+			sent++
+			r.result(a.ID, 0, OK, 5*ms)
+		}
+		ended += len(finals(acts))
+	}
+	// 200 a second over 4 cold upstreams at 0.2 to 0.4 of their share: about 60 a second may go.
+	if sent > 160 || sent < 40 || ended == 0 {
+		t.Errorf("%d sent, %d ended unsent", sent, ended)
+	}
+}
+
+// A repeat whose aim has passed is refused at once: its time left was cut by the end of all tries, which tells when
+// the first came. A repeat early enough is served, and first tries settle what time left is usual.
+func TestStaleRepeatIsRefused(t *testing.T) {
+	r := newRig(t, testSettings()) // aim 200 ms, deadline 1 s
+	r.fleet(3)
+	for i := range 20 { // first tries have 600 ms
+		id := time.Duration(i).String()
+		r.wantSend(r.request(id, "c", 600*ms))
+		r.result(id, 0, OK, 10*ms)
+		r.pass(10 * ms)
+	}
+	r.wantFinal(r.request("stale", "c", 550*ms), Refuse) // the first came 450 ms ago
+	r.wantSend(r.request("early", "c", 900*ms))          // the first came 100 ms ago
+	if f := finals(r.pass(105 * ms)); len(f) != 1 {      // and so it ends when its aim does
+		t.Errorf("still open after its aim: %+v", f)
+	}
+	r.wantSend(r.request("first", "c", 601*ms))
+}
+
+// A return from ejection is not a cold start: only the list tells of a restart. (iadfa39: three upstreams silent for
+// 10 s idled for the whole warm-up after it, the others overloaded.)
+func TestReturnIsNotAColdStart(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(2)
+	u := r.b.list[0]
+	u.ejections, u.until = 3, r.now+10*ms
+	r.now += 20 * ms
+	n := map[string]int{}
+	for i := range 5 {
+		n[r.wantSend(r.request(string(rune('a'+i)), "c", time.Second))]++
+	}
+	if n["u0"] != 1 {
+		t.Errorf("%d trials at once, want 1", n["u0"])
+	}
+	for i := range 5 {
+		r.result(string(rune('a'+i)), 0, OK, 20*ms)
+	}
+	if u.cold || u.ejections != 0 {
+		t.Errorf("after its return: %+v", u)
+	}
+}
--- /dev/null
+++ b/balancer/settings.go
@@ -0,0 +1,84 @@
+package balancer
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// check fills in the defaults of absent settings and names the first one that cannot be used.
+func (s *Settings) check() error {
+	for _, t := range []struct {
+		name string
+		d    time.Duration
+	}{{"Tick", s.Tick}, {"MaxRetryAfter", s.MaxRetryAfter}, {"ConnectTimeout", s.ConnectTimeout},
+		{"WarmUp", s.WarmUp}, {"FallTime", s.FallTime}} {
+		if t.d < 0 {
+			return fmt.Errorf("setting %s: negative", t.name)
+		}
+	}
+	for _, x := range []struct {
+		name string
+		v    float64
+	}{{"Balancers", float64(s.Balancers)}, {"MaxAttempts", float64(s.MaxAttempts)},
+		{"PriceCrossZone", s.PriceCrossZone}, {"PriceProbe", s.PriceProbe},
+		{"PriceOpen", s.PriceOpen}, {"PriceHandshake", s.PriceHandshake}, {"OverShareWorth", s.OverShareWorth},
+		{"ColdFrom", s.ColdFrom}, {"FallMultiple", s.FallMultiple}} {
+		if x.v < 0 || math.IsNaN(x.v) || math.IsInf(x.v, 0) {
+			return fmt.Errorf("setting %s: %v is not usable", x.name, x.v)
+		}
+	}
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("setting Classes: none given")
+	}
+	s.Balancers, s.MaxAttempts = max(s.Balancers, 1), max(s.MaxAttempts, 1)
+	s.Tick = cmp.Or(s.Tick, time.Millisecond)
+	s.ColdFrom = min(cmp.Or(s.ColdFrom, 1), 1)
+	s.Classes = slices.Clone(s.Classes)
+	names := map[string]bool{}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		c.Aim = cmp.Or(c.Aim, c.Deadline)
+		c.Worth = cmp.Or(c.Worth, 1)
+		if c.Name == "" || names[c.Name] {
+			return fmt.Errorf("setting Classes: Name %q empty or repeated", c.Name)
+		}
+		names[c.Name] = true
+		if field := c.unusable(); field != "" {
+			return fmt.Errorf("setting Classes: %s: %s is not usable", c.Name, field)
+		}
+	}
+	for i, t := range s.Tenants {
+		if !(t.Fraction >= 0) || math.IsInf(t.Fraction, 0) {
+			return fmt.Errorf("setting Tenants: %s: Fraction %v is not usable", t.Name, t.Fraction)
+		}
+		if slices.ContainsFunc(s.Tenants[:i], func(o Tenant) bool { return o.Name == t.Name }) {
+			return fmt.Errorf("setting Tenants: Name %q repeated", t.Name)
+		}
+	}
+	return nil
+}
+
+func (c *Class) unusable() string {
+	switch {
+	case c.Aim <= 0:
+		return "Aim"
+	case c.Deadline <= 0:
+		return "Deadline"
+	case c.Effect < Safe || c.Effect > Unsafe:
+		return "Effect"
+	case c.Group < GroupAll || c.Group > GroupCell:
+		return "Group"
+	case !(c.Worth >= 0):
+		return "Worth"
+	case !(c.LateShare >= 0):
+		return "LateShare"
+	case !(c.AimStretch >= 0):
+		return "AimStretch"
+	case c.Window < 0:
+		return "Window"
+	}
+	return ""
+}
--- /dev/null
+++ b/balancer/subset_test.go
@@ -0,0 +1,96 @@
+package balancer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// met plays n requests, gap apart, and counts what each upstream got.
+func met(r *rig, name string, n int, gap time.Duration) map[string]int {
+	got := map[string]int{}
+	for i := range n {
+		id := fmt.Sprint(name, i)
+		for _, a := range kinds(r.request(id, "c", time.Second), Send) {
+			got[a.Upstream]++
+		}
+		r.now += min(gap, 20*ms)
+		r.result(id, 0, OK, 20*ms)
+		r.now += gap - min(gap, 20*ms)
+	}
+	return got
+}
+
+// At two requests a second over a long list no upstream is heard of twice before its estimate is stale: a quiet sidecar
+// draws from a few, a busy one from all; other sidecars have other few; what leaves or is ejected is made up for.
+func TestQuietSidecarDrawsFromASubset(t *testing.T) {
+	all := map[string]int{}
+	s := testSettings()
+	s.Balancers = 60
+	for seed := range uint64(60) {
+		b, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, b: b, now: time.Minute}
+		r.fleet(30)
+		got := met(r, "q", 60, 500*ms)
+		if len(got) > 12 {
+			t.Fatalf("a quiet sidecar met %d of 30", len(got))
+		}
+		for u := range got {
+			all[u]++
+		}
+		if seed > 0 {
+			continue
+		}
+		for u := range got { // every one of them dies
+			r.b.ups[u].until = math.MaxInt64
+		}
+		if n := len(met(r, "d", 60, 500*ms)); n < 4 {
+			t.Errorf("%d upstreams in place of those ejected", n)
+		}
+		for _, u := range r.b.list {
+			u.until = 0
+		}
+		if n := len(met(r, "b", 3000, 10*ms)); n < 28 {
+			t.Errorf("a busy sidecar met %d of 30", n)
+		}
+	}
+	for u, n := range all {
+		if n < 3 || n > 40 { // about 15 of 60
+			t.Errorf("%s is in %d of 60 subsets", u, n)
+		}
+	}
+	if len(all) != 30 {
+		t.Errorf("together they met %d of 30", len(all))
+	}
+}
+
+// Cheap probes tell anew each time; a subset would only load upstreams less evenly (album-zagreb rough-2).
+func TestNoSubsetWhereProbesAreCheap(t *testing.T) {
+	r := newRig(t, probeSettings())
+	r.fleet(30)
+	got := map[string]int{}
+	for i := range 200 {
+		for _, p := range kinds(r.request(fmt.Sprint(i), "c", time.Second), Probe) {
+			got[p.Upstream]++
+		}
+		r.now += 500 * ms
+		r.do(Wake{})
+		r.do(Gone{ID: fmt.Sprint(i)})
+	}
+	if len(got) < 25 {
+		t.Errorf("asked %d of 30", len(got))
+	}
+}
+
+// The subsets of few sidecars would load upstreams unevenly (nairobi-booking): they draw from all.
+func TestNoSubsetAmongFewSidecars(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(30)
+	if got := met(r, "q", 200, 500*ms); len(got) < 25 {
+		t.Errorf("met %d of 30", len(got))
+	}
+}
