--- /dev/null
+++ b/cmd/hazelwing/main.go
@@ -0,0 +1,33 @@
+// Command hazelwing is one sidecar: it serves the application beside it at RELAY_LISTEN and sends its requests on
+// to upstreams. It ends with status 0 after SIGTERM or SIGINT, and with status 1 and one line on standard error when
+// it cannot start or serve.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"birchpulley/internal/sidecar"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "hazelwing:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := sidecar.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	cfg.Limits.Apply()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return sidecar.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,121 @@
+// Package sidecar carries out on real sockets what package balancer decides: it serves the application, sends
+// attempts and probes to upstreams and follows discovery. It makes no decisions of its own.
+package sidecar
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"birchpulley/internal/wire"
+)
+
+// Config is what the platform tells a sidecar at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      hexSeed
+	Limits    Limits
+	Known     listing
+	Settings  *wire.Env
+}
+
+// Limits are those of the sidecar's machine; 0: none told.
+type Limits struct {
+	Cores    float64
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int
+}
+
+// memoryShare of the memory limit is what the Go runtime may use before it collects harder: stacks of the kernel's
+// sockets and the program itself want the rest.
+const memoryShare = 0.7
+
+// Apply tells the Go runtime of the limits on cores and memory.
+func (l Limits) Apply() {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB * memoryShare * (1 << 20)))
+	}
+}
+
+// defaultSockets is taken where no limit is told: the usual soft limit of a process.
+const defaultSockets = 1024
+
+// clientConns and upstreamConns share the descriptors; what is left is for discovery, the log and the runtime.
+func (l Limits) clientConns() int   { return max(1, cmp.Or(l.Sockets, defaultSockets)/2) }
+func (l Limits) upstreamConns() int { return max(1, cmp.Or(l.Sockets, defaultSockets)*3/8) }
+
+// hexSeed is a seed for random numbers, written as hexadecimal digits.
+type hexSeed uint64
+
+func (s *hexSeed) UnmarshalJSON(text []byte) error {
+	var digits string
+	if err := json.Unmarshal(text, &digits); err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	n, err := strconv.ParseUint(digits, 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	*s = hexSeed(n)
+	return nil
+}
+
+// Load reads the file that RELAY_CONFIG names. The other variables, where set, go before what it says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("RELAY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	var c Config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	c.Name = cmp.Or(getenv("RELAY_NAME"), c.Name)
+	c.Listen = cmp.Or(getenv("RELAY_LISTEN"), c.Listen)
+	c.Discovery = cmp.Or(getenv("RELAY_DISCOVERY"), c.Discovery)
+	if c.Settings == nil {
+		return nil, fmt.Errorf("configuration %s: no settings", path)
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("configuration %s: %s: %w", path, a.name, err)
+		}
+	}
+	return &c, nil
+}
+
+// past is how long before the start the module's clock begins: an upstream that came up shortly before the sidecar
+// did is still cold, and has to have a time on that clock.
+const past = time.Hour
+
+// clock is the module's clock: monotonic, but for what comes from outside as wall time.
+type clock struct{ base time.Time }
+
+func newClock() clock { return clock{time.Now().Add(-past)} }
+
+func (c clock) now() time.Duration           { return time.Since(c.base) }
+func (c clock) at(t time.Time) time.Duration { return t.Sub(c.base) }
+func (c clock) time(d time.Duration) time.Time {
+	return c.base.Add(d)
+}
+
+// wall maps Unix milliseconds; 0 or before the clock's begin is long ago: 0.
+func (c clock) wall(ms float64) time.Duration {
+	return max(0, time.Duration(ms-float64(c.base.UnixMilli()))*time.Millisecond)
+}
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -2,12 +2,13 @@
 
 import (
 	"slices"
+	"time"
 
 	"birchpulley/balancer"
 )
 
-// env is the part of the start-up parameters that the module uses.
-type env struct {
+// Env is the part of the start-up parameters that is used, here and by the real sidecar.
+type Env struct {
 	Balancers int
 	Classes   []struct {
 		Name, Semantics, KeyScope                 string
@@ -18,13 +19,13 @@
 	Discovery  string
 	FamilyInfo struct{ WarmKeys bool }
 	Limits     struct {
-		Cancelling, Probes, RetryAfter, SecondCopies bool
-		ConnectTimeoutMs, MaxRetryAfterMs            float64
-		SendCap                                      int
+		Cancelling, Probes, RetryAfter, SecondCopies  bool
+		ConnectTimeoutMs, MaxRetryAfterMs, ConnIdleMs float64
+		SendCap                                       int
 	}
 	OverShareWorth float64
 	Prices         struct{ Connection, CrossZone, Handshake, Probe float64 }
-	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple float64 }
+	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple, DrainGraceMs float64 }
 	Tenants        []struct {
 		Name     string
 		Fraction float64
@@ -41,19 +42,20 @@
 // unknownWord is an effect or group that the module will turn down, naming the field.
 const unknownWord = -1
 
-func (e *env) settings() balancer.Settings {
+// Settings is what the module is told.
+func (e *Env) Settings() balancer.Settings {
 	s := balancer.Settings{
 		Balancers:      e.Balancers,
 		Zone:           e.Zone,
 		MustSubscribe:  e.Discovery == "ask",
-		Tick:           duration(e.TickMs),
+		Tick:           Duration(e.TickMs),
 		MaxAttempts:    e.Limits.SendCap,
 		SecondCopies:   e.Limits.SecondCopies,
 		Cancelling:     e.Limits.Cancelling,
 		Probes:         e.Limits.Probes,
 		RetryAfter:     e.Limits.RetryAfter,
-		MaxRetryAfter:  duration(e.Limits.MaxRetryAfterMs),
-		ConnectTimeout: duration(e.Limits.ConnectTimeoutMs),
+		MaxRetryAfter:  Duration(e.Limits.MaxRetryAfterMs),
+		ConnectTimeout: Duration(e.Limits.ConnectTimeoutMs),
 		WarmKeys:       e.FamilyInfo.WarmKeys,
 		LoadByProbes: (e.Stats.Via == "probe" || e.Stats.Via == "answers") &&
 			slices.ContainsFunc(e.Stats.Names, tellsHeld),
@@ -64,14 +66,14 @@
 		OverShareWorth: e.OverShareWorth,
 		WorthByWork:    e.WorthBy == "work",
 		ColdFrom:       e.Rules.ColdFrom,
-		WarmUp:         duration(e.Rules.WarmUpMs),
+		WarmUp:         Duration(e.Rules.WarmUpMs),
 		FallMultiple:   e.Rules.FallMultiple,
-		FallTime:       duration(e.Rules.FallMs),
+		FallTime:       Duration(e.Rules.FallMs),
 	}
 	for _, c := range e.Classes {
-		s.Classes = append(s.Classes, balancer.Class{Name: c.Name, Aim: duration(c.AimMs), AimStretch: c.AimStretch,
-			Deadline: duration(c.DeadlineMs), Worth: c.Importance, LateShare: c.LateShare,
-			Effect: effect(c.Semantics), Group: group(c.KeyScope), Window: duration(c.DedupWindowMs), Stream: c.Stream})
+		s.Classes = append(s.Classes, balancer.Class{Name: c.Name, Aim: Duration(c.AimMs), AimStretch: c.AimStretch,
+			Deadline: Duration(c.DeadlineMs), Worth: c.Importance, LateShare: c.LateShare,
+			Effect: effect(c.Semantics), Group: group(c.KeyScope), Window: Duration(c.DedupWindowMs), Stream: c.Stream})
 	}
 	for _, t := range e.Tenants {
 		s.Tenants = append(s.Tenants, balancer.Tenant{Name: t.Name, Fraction: t.Fraction})
@@ -79,6 +81,12 @@
 	return s
 }
 
+// ConnIdle is when upstreams close idle connections.
+func (e *Env) ConnIdle() time.Duration { return Duration(e.Limits.ConnIdleMs) }
+
+// DrainGrace is how long an upstream may still be sent to once its drain is told.
+func (e *Env) DrainGrace() time.Duration { return Duration(e.Rules.DrainGraceMs) }
+
 // Names of the values in a load report that say what an upstream holds.
 const (
 	heldName  = "concurrent"
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,7 +25,7 @@
 	Verb        string `json:"verb"`
 	I           int
 	Prng        json.Number
-	Env         *env
+	Env         *Env
 	Table       int
 	MembersList []entry
 	Scope       string
@@ -120,7 +120,7 @@
 		return nil, fmt.Errorf("not a batch: %w", err)
 	}
 	reply := []action{}
-	now := duration(b.TsMs)
+	now := Duration(b.TsMs)
 	for n, raw := range b.In {
 		var e event
 		if err := json.Unmarshal(raw, &e); err != nil {
@@ -143,7 +143,7 @@
 		if e.Env == nil {
 			return nil, fmt.Errorf("no Env")
 		}
-		b, err := balancer.New(e.Env.settings(), seed(e.Prng))
+		b, err := balancer.New(e.Env.Settings(), seed(e.Prng))
 		if err != nil {
 			return nil, err
 		}
@@ -194,23 +194,23 @@
 		}
 		return balancer.Members{Kind: kind, Entries: h.tables[e.Table]}
 	case "Order":
-		r := balancer.Request{ID: e.ID, Class: e.Type, Key: e.Item, Expires: duration(e.ExpiresMs)}
+		r := balancer.Request{ID: e.ID, Class: e.Type, Key: e.Item, Expires: Duration(e.ExpiresMs)}
 		r.Tenant, _ = e.Billing.(string)
 		if e.Bits&hintValid != 0 {
-			r.Hint = duration(e.PredictedMs)
+			r.Hint = Duration(e.PredictedMs)
 		}
 		return r
 	case "FirstByte":
 		return balancer.FirstByte{ID: e.ID, Attempt: e.Hop}
 	case "Returned":
 		return balancer.Outcome{ID: e.ID, Attempt: e.Hop, Result: result(e.Result),
-			Elapsed: duration(e.ElapsedMs), Finished: e.Finished}
+			Elapsed: Duration(e.ElapsedMs), Finished: e.Finished}
 	case "Hangup":
 		return balancer.Gone{ID: e.ID}
 	case "Wakeup":
 		return balancer.Wake{}
 	case "ProbeDone":
-		return balancer.ProbeResult{Upstream: e.Upstream, Result: result(e.Result), Elapsed: duration(e.ElapsedMs),
+		return balancer.ProbeResult{Upstream: e.Upstream, Result: result(e.Result), Elapsed: Duration(e.ElapsedMs),
 			Load: load(e.Load)}
 	case "Heard":
 		return balancer.Peer{From: e.By, Message: e.Contents}
@@ -275,7 +275,7 @@
 	list := make([]balancer.Member, len(entries))
 	for i, e := range entries {
 		list[i] = balancer.Member{Upstream: e.Upstream, Zone: e.RackZone, Kind: e.Machine, Cell: e.Cell,
-			State: states[e.StageState], CameUp: duration(e.CameUpMs)}
+			State: states[e.StageState], CameUp: Duration(e.CameUpMs)}
 	}
 	return list
 }
@@ -290,8 +290,8 @@
 	return uint64(i)
 }
 
-// The simulator counts microseconds.
-func duration(ms float64) time.Duration {
+// Duration rounds to microseconds, as the simulator counts them.
+func Duration(ms float64) time.Duration {
 	return time.Duration(math.Round(ms*1000)) * time.Microsecond
 }
 
