--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // A sidecar embeds the module: it reports what happens, with its own clock, and carries out the actions.
--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -11,7 +11,7 @@
 	"os/signal"
 	"syscall"
 
-	"birchpulley/internal/sidecar"
+	"hazelwing/internal/sidecar"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -7,7 +7,7 @@
 	"io"
 	"os"
 
-	"birchpulley/internal/wire"
+	"hazelwing/internal/wire"
 )
 
 func main() { os.Exit(run(os.Stdin, os.Stdout, os.Stderr)) }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"birchpulley/internal/wire"
+	"hazelwing/internal/wire"
 )
 
 // Config is what the platform tells a sidecar at its start.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // The watch on discovery.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // The loop owns the Balancer. Everything that happens on a socket is posted to it as an event; it answers each with
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/net/netutil"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // The client side: the application's requests, read whole, posted to the loop, and answered once.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // Exchanges with upstreams, and the connections for them. net/http's Transport would send a request again by itself
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // Env is the part of the start-up parameters that is used, here and by the real sidecar.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 // timerCookie marks the one timer that an instance keeps.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"birchpulley/balancer"
+	"hazelwing/balancer"
 )
 
 func serve(t *testing.T, in string) ([]string, error) {
