Test the sidecar over loopback sockets

Each test names what it guards against. Found by them: spaces round a load report's names made it unread (load in upstream.go); mended.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -70,10 +70,12 @@
 	addr   string
 	client *http.Client
 	post   func(news)
+
+	silence time.Duration // when a watch counts as dead
 }
 
 func newDiscovery(addr string, post func(news)) *discovery {
-	return &discovery{addr: addr, post: post, client: &http.Client{Transport: &http.Transport{
+	return &discovery{addr: addr, post: post, silence: silence, client: &http.Client{Transport: &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: silence}).DialContext,
 		DisableKeepAlives: true, DisableCompression: true,
 	}}}
@@ -107,7 +109,7 @@
 func (d *discovery) follow(w *watch) error {
 	ctx, cancel := context.WithCancelCause(w.ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(silence, func() { cancel(fmt.Errorf("nothing came for %v", silence)) })
+	quiet := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("nothing came for %v", d.silence)) })
 	defer quiet.Stop()
 
 	url := "http://" + d.addr + "/discovery/hosts?watch=1&from=" + strconv.FormatInt(w.seq, 10)
@@ -126,7 +128,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, longestLine)
 	for told := false; lines.Scan(); {
-		quiet.Reset(silence)
+		quiet.Reset(d.silence)
 		n := news{watch: w, kind: balancer.Change}
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
 			var l listing
--- /dev/null
+++ b/internal/sidecar/loop_test.go
@@ -0,0 +1,189 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// noDiscovery is an address where nothing listens.
+const noDiscovery = "127.0.0.1:1"
+
+func TestRequestAndAnswerGoThroughUnchanged(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for q := readRequest(r); q != nil; q = readRequest(r) {
+			seen <- q
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/x-seat\r\nKeep-Alive: 1\r\nContent-Length: 4\r\n\r\nseat")
+		}
+	})
+	r := startSidecar(t, noDiscovery, addr)
+	for i, c := range []struct{ method, class, body string }{{"GET", "look", ""}, {"POST", "book", "b\x00dy"}, {"POST", "pay", "card"}} {
+		id := strconv.Itoa(i)
+		req := r.request(t, c.method, c.class, id, c.body)
+		req.Header.Set("X-Other", "kept")
+		req.Header.Set("Te", "trailers")
+		resp, body := r.do(t, req)
+		if resp.StatusCode != 200 || body != "seat" || resp.Header.Get("Content-Type") != "text/x-seat" || resp.Header.Get("Keep-Alive") != "" {
+			t.Errorf("%s: %s %q %v", c.class, resp.Status, body, resp.Header)
+		}
+		q := receive(t, seen, "the request")
+		got, _ := io.ReadAll(q.Body)
+		left, _ := strconv.Atoi(q.Header.Get("X-Deadline-Ms"))
+		if q.Method != c.method || q.RequestURI != "/"+c.class+"/a%2Fb?q=1" || string(got) != c.body ||
+			q.Header.Get("X-Request-Id") != id || q.Header.Get("Idempotency-Key") != req.Header.Get("Idempotency-Key") ||
+			q.Header.Get("X-Other") != "kept" || q.Header.Get("Te") != "" || left <= 0 || left > 15000 {
+			t.Errorf("%s: %s %s %q %v", c.class, q.Method, q.RequestURI, got, q.Header)
+		}
+	}
+}
+
+// An upstream's own 503 says nothing of whether the request ran. Guards against passing it on: the client would take
+// it for a refusal and repeat what must not run twice.
+func TestUnsafeRequestThatMayHaveRunFails(t *testing.T) {
+	for name, reply := range map[string]string{
+		"503":   "HTTP/1.1 503 Hm\r\nContent-Length: 0\r\n\r\n",
+		"reset": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			copies := make(chan bool, 100)
+			addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				for readRequest(r) != nil {
+					copies <- true
+					if io.WriteString(conn, reply); reply == "" {
+						conn.Close()
+					}
+				}
+			})
+			r := startSidecar(t, noDiscovery, addr)
+			resp, _ := r.do(t, r.request(t, "POST", "book", "1", "x"))
+			if resp.StatusCode < 500 || resp.StatusCode == 503 || len(copies) != 1 {
+				t.Errorf("%s after %d copies", resp.Status, len(copies))
+			}
+		})
+	}
+}
+
+// What was turned away unseen may be sent again, also where it must not run twice.
+func TestTurnedAwayIsSentAgain(t *testing.T) {
+	addr := rawUpstream(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		for i := 0; readRequest(r) != nil; i++ {
+			if n == 0 && i == 0 {
+				io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			} else {
+				io.WriteString(conn, okAnswer)
+			}
+		}
+	})
+	r := startSidecar(t, noDiscovery, addr)
+	if resp, body := r.do(t, r.request(t, "POST", "book", "1", "x")); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("%s %q", resp.Status, body)
+	}
+}
+
+// A second request under an id in hand would leave one of the two without an answer.
+func TestIDInHand(t *testing.T) {
+	came, release := make(chan bool, 1), make(chan bool)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		came <- true
+		<-release
+	}))
+	defer upstream.Close()
+	r := startSidecar(t, noDiscovery, upstream.Listener.Addr().String())
+	status := make(chan int, 1)
+	go func() {
+		if resp, err := r.client.Do(r.request(t, "POST", "book", "1", "x")); err == nil {
+			status <- resp.StatusCode
+		}
+	}()
+	receive(t, came, "the first")
+	if resp, _ := r.do(t, r.request(t, "POST", "book", "1", "x")); resp.StatusCode != 400 {
+		t.Errorf("the second got %s", resp.Status)
+	}
+	release <- true
+	if got := receive(t, status, "the first answer"); got != 200 {
+		t.Errorf("the first got %d", got)
+	}
+}
+
+// The list that discovery tells replaces the known one, and the sidecar goes on without discovery.
+func TestFollowsDiscovery(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "new") }))
+	defer upstream.Close()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		fmt.Fprintf(w, `{"seq":2,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","class":"m","block":0,"health":"SERVING","share":1.0,"born_ms":0}]}`+"\n",
+			upstream.Listener.Addr())
+	}))
+	defer discovery.Close()
+	r := startSidecar(t, discovery.Listener.Addr().String(), noDiscovery)
+	// The known address refuses until the list moves it: the sidecar refuses too, and asking again is harmless.
+	begun := time.Now()
+	for n := 0; ; n++ {
+		resp, body := r.do(t, r.request(t, "GET", "look", strconv.Itoa(n), ""))
+		if resp.StatusCode == 200 && body == "new" {
+			break
+		}
+		if time.Since(begun) > patience {
+			t.Fatalf("%s %q", resp.Status, body)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// idleLoop is a loop that nothing runs but the test. Its discovery says nothing.
+func idleLoop(t *testing.T) *loop {
+	t.Helper()
+	discovery := rawUpstream(t, func(int, net.Conn, *bufio.Reader) {})
+	l, err := newLoop(loadText(t, fmt.Sprintf(testConfig, discovery, noDiscovery)), quietLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.discovery.silence = patience
+	l.news(<-l.lists) // the known list; the module asks for changes
+	t.Cleanup(func() { l.watch.stop() })
+	return l
+}
+
+// Guards against news of a watch that was replaced: its end would be taken for the end of the new one.
+func TestNewsOfAnOldWatch(t *testing.T) {
+	l := idleLoop(t)
+	old := l.watch
+	l.subscribe()
+	current := l.watch
+	l.news(news{watch: old, kind: balancer.Failed})
+	l.news(news{watch: old, kind: balancer.Full, seq: 9})
+	if l.watch != current || l.seq == 9 || l.pool.find("s") == nil {
+		t.Error("an old watch was heard")
+	}
+}
+
+// A drain has to be heard before whatever else waits for the loop: what is sent after it may come too late.
+func TestListGoesFirst(t *testing.T) {
+	for range 10 { // without the order, each has an even chance
+		l := idleLoop(t)
+		c := testCall("GET")
+		c.class, c.expires = "look", time.Now().Add(patience)
+		l.events <- c
+		l.lists <- news{watch: l.watch, kind: balancer.Change, seq: 2, hosts: withHealth(active(noDiscovery), "DRAINING")}
+		ctx, end := context.WithCancel(t.Context())
+		ended := make(chan bool)
+		go func() { l.run(ctx); close(ended) }()
+		for begun := time.Now(); len(l.events)+len(l.lists) > 0 && time.Since(begun) < patience; {
+			time.Sleep(time.Millisecond)
+		}
+		end()
+		receive(t, ended, "the loop's end")
+		if len(c.attempts) > 0 {
+			t.Fatal("a request went before the drain")
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/server_test.go
@@ -0,0 +1,162 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// deaf is a client side whose loop is the test.
+func deaf(t *testing.T) (*running, *httptest.Server) {
+	t.Helper()
+	cfg := loadText(t, strings.ReplaceAll(testConfig, "%q", `"127.0.0.1:1"`))
+	l, err := newLoop(cfg, quietLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(newServer(cfg, l))
+	t.Cleanup(server.Close)
+	return &running{url: server.URL, loop: l, client: server.Client()}, server
+}
+
+// What is malformed gets a plain answer of its own, and goes to no upstream. None of these is a refusal, which would
+// say that trying again helps.
+func TestTurnedDown(t *testing.T) {
+	r, _ := deaf(t)
+	for name, c := range map[string]struct {
+		method, class, body string
+		change              func(*http.Request)
+		want                int
+	}{
+		"unknown path":     {"GET", "look", "", func(q *http.Request) { q.URL.Path = "/nothing" }, 404},
+		"unknown class":    {"GET", "other", "", nil, 404},
+		"other class":      {"GET", "look", "", func(q *http.Request) { q.Header.Set("X-Class", "book") }, 400},
+		"no class":         {"GET", "look", "", func(q *http.Request) { q.Header.Del("X-Class") }, 400},
+		"no id":            {"GET", "look", "", func(q *http.Request) { q.Header.Del("X-Request-Id") }, 400},
+		"no deadline":      {"GET", "look", "", func(q *http.Request) { q.Header.Del("X-Deadline-Ms") }, 400},
+		"negative":         {"GET", "look", "", func(q *http.Request) { q.Header.Set("X-Deadline-Ms", "-4") }, 400},
+		"no number":        {"GET", "look", "", func(q *http.Request) { q.Header.Set("X-Deadline-Ms", "soon") }, 400},
+		"unsafe by GET":    {"GET", "book", "", nil, 405},
+		"safe by POST":     {"POST", "look", "x", nil, 405},
+		"keyed, no key":    {"POST", "pay", "x", func(q *http.Request) { q.Header.Del("Idempotency-Key") }, 400},
+		"unsafe and a key": {"POST", "book", "x", func(q *http.Request) { q.Header.Set("Idempotency-Key", "k") }, 400},
+		"oversized":        {"POST", "book", strings.Repeat("x", maxBody+1), nil, 413},
+		"oversized chunks": {"POST", "book", strings.Repeat("x", maxBody+1), func(q *http.Request) { q.ContentLength = -1 }, 413},
+		"POST to ready":    {"POST", "look", "", func(q *http.Request) { q.URL.Path, q.URL.RawPath = "/up", "" }, 405},
+		"ready":            {"GET", "look", "", func(q *http.Request) { q.URL.Path, q.URL.RawPath = "/up", "" }, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := r.request(t, c.method, c.class, "1", c.body)
+			if c.change != nil {
+				c.change(req)
+			}
+			if resp, body := r.do(t, req); resp.StatusCode != c.want || body == "" {
+				t.Errorf("%s %q, want %d and a message", resp.Status, body, c.want)
+			}
+			if len(r.loop.events) > 0 {
+				t.Errorf("it went on: %+v", <-r.loop.events)
+			}
+		})
+	}
+}
+
+// Guards against work for a client that has left: it is noticed only when the body has been read to its end.
+func TestHangUpIsNoticed(t *testing.T) {
+	r, _ := deaf(t)
+	for _, method := range []string{"GET", "POST"} {
+		class, body := "look", ""
+		if method == "POST" {
+			class, body = "book", strings.Repeat("x", maxBody)
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		go r.client.Do(r.request(t, method, class, "1", body).WithContext(ctx))
+		c := receive[any](t, r.loop.events, "the request").(*call)
+		leave()
+		if g := receive[any](t, r.loop.events, "the hang-up").(gone); g.call != c {
+			t.Errorf("%s: another call is gone", method)
+		}
+	}
+}
+
+func TestCallIsReadWhole(t *testing.T) {
+	r, _ := deaf(t)
+	req := r.request(t, "POST", "pay", "77", "card")
+	req.Header.Set("X-Cost-Hint", "1500.5")
+	req.Header.Set("X-Tenant", "acme")
+	req.AddCookie(&http.Cookie{Name: "user", Value: "u1"})
+	before := time.Now()
+	go r.client.Do(req)
+	c := receive[any](t, r.loop.events, "the request").(*call)
+	if c.id != "77" || c.class != "pay" || c.tenant != "acme" || c.key != "u1" || c.hint != 1500500*time.Nanosecond ||
+		string(c.body) != "card" || c.uri != "/pay/a%2Fb?q=1" || c.expires.Sub(before) < 15*time.Second {
+		t.Errorf("%+v", c)
+	}
+	c.reply <- plain(http.StatusOK, "done")
+}
+
+// A refusal must be one of two codes and a failure neither: clients repeat what is refused.
+func TestFinalAnswers(t *testing.T) {
+	if a := refused(1250 * time.Millisecond); a.status != 503 || a.header.Get("Retry-After") != "1.25" {
+		t.Errorf("refusal: %+v", a)
+	}
+	if a := refused(0); a.status != 503 || a.header.Get("Retry-After") != "" {
+		t.Errorf("refusal without advice: %+v", a)
+	}
+	for _, timedOut := range []bool{false, true} {
+		if a := failed(timedOut); a.status < 500 || a.status == 503 || a.header.Get("Retry-After") != "" {
+			t.Errorf("failure: %+v", a)
+		}
+	}
+}
+
+// At a planned restart the requests in hand are answered, and so are those that come while the platform still sends
+// new connections: what was accepted is never reset. Then the program ends.
+func TestStopLosesNothing(t *testing.T) {
+	waits, release := make(chan bool, 1), make(chan bool)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Method == "POST" {
+			waits <- true
+			<-release
+		}
+		io.WriteString(w, "ok")
+	}))
+	defer upstream.Close()
+	r := startSidecar(t, "127.0.0.1:1", upstream.Listener.Addr().String())
+	slow := make(chan string, 1)
+	go func() {
+		resp, err := r.client.Do(r.request(t, "POST", "book", "1", "x"))
+		if err != nil {
+			slow <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(resp.Body)
+		slow <- string(body)
+	}()
+	receive(t, waits, "the slow request")
+	r.stop()
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	for begun, closing := time.Now(), false; time.Since(begun) < stopAfter*2/3 || !closing; {
+		resp, err := fresh.Do(r.request(t, "GET", "look", time.Now().String(), ""))
+		if err != nil {
+			t.Fatalf("%v after the stop: %v", time.Since(begun), err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		closing = resp.Close
+	}
+	release <- true
+	if got := receive(t, slow, "the slow answer"); got != "ok" {
+		t.Errorf("the request in hand got %q", got)
+	}
+	if err := receive(t, r.ended, "the end"); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.DialTimeout("tcp", strings.TrimPrefix(r.url, "http://"), patience); err == nil {
+		t.Error("still listening")
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -442,8 +442,8 @@
 	}
 	var l balancer.Load
 	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if name != "inflight" && name != "queue" {
+		name, value, _ := strings.Cut(field, "=")
+		if name = strings.TrimSpace(name); name != "inflight" && name != "queue" {
 			continue
 		}
 		if x, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil && x >= 0 {
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,285 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// What comes back decides whether a request may be sent again, so each answer must be told for what it is. Guards
+// against an unsafe request that may have run and looks as if it had not.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply string // after the whole request, then the connection ends
+		want  balancer.Result
+	}{
+		"served":              {okAnswer, balancer.OK},
+		"served, chunked":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", balancer.OK},
+		"after an interim":    {"HTTP/1.1 103 Early Hints\r\n\r\n" + okAnswer, balancer.OK},
+		"error":               {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", balancer.ServerError},
+		"queue full":          {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", balancer.Overloaded},
+		"over already":        {"HTTP/1.1 504 Late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", balancer.Overloaded},
+		"503, may have run":   {"HTTP/1.1 503 Hm\r\nContent-Length: 0\r\n\r\n", balancer.ServerError},
+		"not-run says 0":      {"HTTP/1.1 503 Hm\r\nX-Not-Run: 0\r\nContent-Length: 0\r\n\r\n", balancer.ServerError},
+		"redirect":            {"HTTP/1.1 302 Go\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n", balancer.ServerError},
+		"broken at once":      {"", balancer.Reset},
+		"broken in the head":  {"HTTP/1.1 200 OK\r\nConte", balancer.Reset},
+		"broken in the body":  {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", balancer.Reset},
+		"cut chunk":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", balancer.Reset},
+		"oversized":           {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBody+1, strings.Repeat("x", maxBody+1)), balancer.ServerError},
+		"cut 503 and not run": {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\n", balancer.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					io.WriteString(conn, c.reply)
+				}
+				conn.Close()
+			})
+			p := testPool()
+			o := p.exchange(knownUpstream(t, p, addr), patience, testCall("POST").request).run()
+			wantResult(t, o, c.want)
+			if o.result == balancer.OK && string(o.answer.body) != "ok" {
+				t.Errorf("body %q", o.answer.body)
+			}
+		})
+	}
+}
+
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	p := testPool()
+	wantResult(t, p.exchange(knownUpstream(t, p, l.Addr().String()), patience, testCall("POST").request).run(), balancer.ConnectFailed)
+	if p.open != 0 {
+		t.Errorf("%d connections counted as open", p.open)
+	}
+}
+
+// A cut-off machine says nothing. Guards against attempts that hang past their time, and against pooling a connection
+// on which an answer may still come.
+func TestSilentUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		timeout time.Duration
+		want    balancer.Result
+	}{
+		"timed out": {50 * time.Millisecond, balancer.Timeout},
+		"cancelled": {patience, balancer.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			came, closed := make(chan bool, 1), make(chan bool, 1)
+			addr := rawUpstream(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				came <- true
+				r.ReadByte()
+				closed <- true
+			})
+			p := testPool()
+			x := p.exchange(knownUpstream(t, p, addr), c.timeout, testCall("POST").request)
+			done := make(chan outcome, 1)
+			go func() { done <- x.run() }()
+			receive(t, came, "the request")
+			if c.want == balancer.Cancelled {
+				x.cancel()
+			}
+			o := receive(t, done, "the outcome")
+			wantResult(t, o, c.want)
+			if c.want == balancer.Timeout && o.elapsed < c.timeout {
+				t.Errorf("timed out after %v already", o.elapsed)
+			}
+			receive(t, closed, "the connection's end")
+		})
+	}
+}
+
+// Guards against libraries that send a request again when a reused connection breaks: the copy would be an effect
+// that nobody decided on.
+func TestBrokenReusedConnectionIsNotRetried(t *testing.T) {
+	var copies atomic.Int32
+	addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for n := 0; readRequest(r) != nil; n++ {
+			copies.Add(1)
+			if n > 0 {
+				conn.Close()
+				return
+			}
+			io.WriteString(conn, okAnswer)
+		}
+	})
+	p := testPool()
+	u := knownUpstream(t, p, addr)
+	for _, method := range []string{"GET", "POST"} {
+		before := copies.Load()
+		wantResult(t, p.exchange(u, patience, testCall(method).request).run(), balancer.OK)
+		wantResult(t, p.exchange(u, patience, testCall(method).request).run(), balancer.Reset)
+		if got := copies.Load() - before; got != 2 {
+			t.Errorf("%s: %d copies came, want 2", method, got)
+		}
+	}
+}
+
+// Guards against a request written to an idle connection that the upstream has closed: it would count as reset, and
+// an unsafe one could not be sent again.
+func TestClosedIdleConnectionIsNoticed(t *testing.T) {
+	conns := make(chan net.Conn, 2)
+	addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(conn, okAnswer)
+			conns <- conn
+		}
+	})
+	p := testPool()
+	u := knownUpstream(t, p, addr)
+	wantResult(t, p.exchange(u, patience, testCall("POST").request).run(), balancer.OK)
+	receive(t, conns, "the first request").Close()
+	if len(u.idle) != 1 {
+		t.Fatalf("%d idle connections, want 1", len(u.idle))
+	}
+	for end := time.Now().Add(patience); u.idle[0].silent() && time.Now().Before(end); {
+		runtime.Gosched()
+	}
+	wantResult(t, p.exchange(u, patience, testCall("POST").request).run(), balancer.OK)
+	if p.open != 1 {
+		t.Errorf("%d connections counted as open, want 1", p.open)
+	}
+}
+
+// Connections are kept, since a new one costs the upstream work, but not as long as the upstream keeps them: what is
+// written to one that it is about to close is lost.
+func TestIdleConnectionsAreReusedAndRetired(t *testing.T) {
+	numbers := make(chan int, 3)
+	addr := rawUpstream(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			numbers <- n
+			io.WriteString(conn, okAnswer)
+		}
+	})
+	p := testPool()
+	u := knownUpstream(t, p, addr)
+	for i, want := range []int{0, 0, 1} {
+		if i == 2 {
+			u.idle[0].since = time.Now().Add(-p.idle)
+		}
+		wantResult(t, p.exchange(u, patience, testCall("GET").request).run(), balancer.OK)
+		if got := receive(t, numbers, "a request"); got != want {
+			t.Errorf("request %d came on connection %d, want %d", i, got, want)
+		}
+	}
+	if p.idle >= 15*time.Second {
+		t.Errorf("idle connections are kept for %v, as long as upstreams keep them", p.idle)
+	}
+	p.update(false, withHealth(active(addr), "DRAINING"), time.Now())
+	if len(u.idle) != 0 || p.open != 0 {
+		t.Errorf("%d idle and %d open connections to an upstream that left", len(u.idle), p.open)
+	}
+}
+
+// Guards against a dial that finishes late: after the request's final answer nothing is sent for it, and after an
+// upstream's grace nothing is sent to it.
+func TestLateDialIsNotWritten(t *testing.T) {
+	for name, c := range map[string]struct {
+		before func(p *pool, x *exchange, addr string)
+		want   balancer.Result
+	}{
+		"answered": {func(_ *pool, x *exchange, _ string) { x.forbid() }, balancer.Cancelled},
+		"drained": {func(p *pool, _ *exchange, addr string) {
+			p.update(false, withHealth(active(addr), "DRAINING"), time.Now().Add(-p.grace))
+		}, balancer.Moot},
+		"gone from a whole list": {func(p *pool, _ *exchange, _ string) {
+			p.update(true, nil, time.Now().Add(-p.grace))
+		}, balancer.Moot},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var copies atomic.Int32
+			addr := rawUpstream(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+				if _, err := r.ReadByte(); err == nil {
+					copies.Add(1)
+				}
+			})
+			p := testPool()
+			x := p.exchange(knownUpstream(t, p, addr), patience, testCall("POST").request)
+			c.before(p, x, addr)
+			wantResult(t, x.run(), c.want)
+			if copies.Load() != 0 {
+				t.Error("something was written")
+			}
+		})
+	}
+}
+
+// Guards against running out of descriptors: idle connections make room, and beyond that nothing is dialled, which
+// is not the upstream's fault.
+func TestConnectionLimit(t *testing.T) {
+	came := make(chan bool, 1)
+	addr := rawUpstream(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			came <- true
+		}
+	})
+	answering := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(conn, okAnswer)
+		}
+	})
+	p := testPool()
+	p.max = 1
+	hosts := append(active(addr), host{Host: "other", Dial: answering, Health: "SERVING"})
+	p.update(true, hosts, time.Now())
+	wantResult(t, p.exchange(p.find("other"), patience, testCall("GET").request).run(), balancer.OK)
+	first := p.exchange(p.find("s"), patience, testCall("GET").request)
+	done := make(chan outcome, 1)
+	go func() { done <- first.run() }()
+	receive(t, came, "the request that takes the idle connection's place")
+	wantResult(t, p.exchange(p.find("s"), patience, testCall("GET").request).run(), balancer.Moot)
+	first.cancel()
+	wantResult(t, receive(t, done, "the outcome"), balancer.Cancelled)
+}
+
+func TestLoadReport(t *testing.T) {
+	for text, want := range map[string]balancer.Load{
+		"inflight=7,queue=2,util=0.61": {Told: true, Held: 7},
+		"queue=3":                      {Told: true, Held: 3},
+		" queue = 0 ":                  {Told: true},
+		"util=0.5":                     {},
+		"queue=x":                      {},
+		"queue=-1":                     {},
+		"":                             {},
+	} {
+		if got := load(&answer{status: 200, body: []byte(text)}); got != want {
+			t.Errorf("%q: %+v, want %+v", text, got, want)
+		}
+	}
+	if got := load(&answer{status: 503, body: []byte("queue=3")}); got.Told {
+		t.Error("a failed probe told something")
+	}
+}
+
+// A probe has to reach the load report and bring the queue to the module.
+func TestProbeTellsTheQueue(t *testing.T) {
+	addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for req := readRequest(r); req != nil; req = readRequest(r) {
+			if req.URL.Path == "/metrics/load" && req.Method == "GET" {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nqueue=4")
+			} else {
+				io.WriteString(conn, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	})
+	p := testPool()
+	o := p.exchange(knownUpstream(t, p, addr), patience, probeRequest).run()
+	wantResult(t, o, balancer.OK)
+	if got := load(o.answer); got != (balancer.Load{Told: true, Held: 4}) {
+		t.Errorf("told %+v", got)
+	}
+}
