--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -101,6 +101,9 @@
 
 var quietLog = slog.New(slog.DiscardHandler)
 
+// testOpen is how long a stopping sidecar stays open here: long enough for a slow machine to come in time.
+const testOpen = 3 * time.Second
+
 // running is a sidecar on loopback.
 type running struct {
 	url    string
@@ -127,7 +130,9 @@
 		client: &http.Client{Transport: &http.Transport{}, Timeout: patience}}
 	looped := make(chan struct{})
 	go func() { l.run(work); close(looped) }()
-	go func() { r.ended <- newServer(cfg, l).serve(ctx, listener, quietLog) }()
+	s := newServer(cfg, l)
+	s.open = testOpen
+	go func() { r.ended <- s.serve(ctx, listener, quietLog) }()
 	t.Cleanup(func() {
 		r.client.CloseIdleConnections()
 		stop()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -40,10 +40,10 @@
 	maxWait    = time.Hour // a client's patience beyond it is cut
 
 	// At a planned restart connections go on coming for a while: close once none has come for stopQuiet, but not
-	// before stopAfter.
+	// before stopAfter, nor much later.
 	stopAfter = 600 * time.Millisecond
 	stopQuiet = 200 * time.Millisecond
-	stopWorst = 2 * time.Second
+	stopExtra = time.Second
 	// answerTime is what a request's answer may take beyond its deadline before the program ends all the same.
 	answerTime = time.Second
 )
@@ -52,6 +52,7 @@
 	loop     *loop
 	effects  map[string]balancer.Effect // by class
 	longest  time.Duration              // deadline
+	open     time.Duration              // how long connections are expected after the stop
 	stopping atomic.Bool
 	accepted atomic.Int64 // when a connection last came, Unix nanoseconds
 }
@@ -74,7 +75,7 @@
 }
 
 func newServer(cfg *Config, l *loop) *server {
-	s := &server{loop: l, effects: map[string]balancer.Effect{}}
+	s := &server{loop: l, effects: map[string]balancer.Effect{}, open: stopAfter}
 	for _, c := range cfg.Settings.Settings().Classes {
 		s.effects[c.Name] = c.Effect
 		s.longest = max(s.longest, c.Deadline)
@@ -116,8 +117,8 @@
 // connections in its backlog: the machine has accepted them, and they would be reset.
 func (s *server) awaitQuiet() {
 	begun := time.Now()
-	time.Sleep(stopAfter)
-	for time.Since(begun) < stopWorst {
+	time.Sleep(s.open)
+	for time.Since(begun) < s.open+stopExtra {
 		quiet := time.Since(time.Unix(0, s.accepted.Load()))
 		if quiet >= stopQuiet {
 			return
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -139,16 +140,20 @@
 	}()
 	receive(t, waits, "the slow request")
 	r.stop()
-	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
-	for begun, closing := time.Now(), false; time.Since(begun) < stopAfter*2/3 || !closing; {
-		resp, err := fresh.Do(r.request(t, "GET", "look", time.Now().String(), ""))
+	ask := func(n int) bool {
+		resp, err := r.client.Do(r.request(t, "GET", "look", fmt.Sprint("late", n), ""))
 		if err != nil {
-			t.Fatalf("%v after the stop: %v", time.Since(begun), err)
+			t.Fatalf("after the stop: %v", err)
 		}
 		io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
-		closing = resp.Close
+		return resp.Close
 	}
+	begun, n := time.Now(), 0
+	for ; !ask(n); n++ { // until clients are told to leave their connections
+	}
+	time.Sleep(testOpen/3 - time.Since(begun)) // and a new one after a pause
+	ask(n + 1)
 	release <- true
 	if got := receive(t, slow, "the slow answer"); got != "ok" {
 		t.Errorf("the request in hand got %q", got)
