Let a failing stop or id test end instead of hanging

The tests' upstream waited for a release that a failure skipped, so the first failure showed only as a time-out.

--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,11 +94,13 @@
 // A second request under an id in hand would leave one of the two without an answer.
 func TestIDInHand(t *testing.T) {
 	came, release := make(chan bool, 1), make(chan bool)
+	answer := sync.OnceFunc(func() { close(release) })
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		came <- true
 		<-release
 	}))
 	defer upstream.Close()
+	defer answer()
 	r := startSidecar(t, noDiscovery, upstream.Listener.Addr().String())
 	status := make(chan int, 1)
 	go func() {
@@ -109,7 +112,7 @@
 	if resp, _ := r.do(t, r.request(t, "POST", "book", "1", "x")); resp.StatusCode != 400 {
 		t.Errorf("the second got %s", resp.Status)
 	}
-	release <- true
+	answer()
 	if got := receive(t, status, "the first answer"); got != 200 {
 		t.Errorf("the first got %d", got)
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -119,6 +120,7 @@
 // new connections: what was accepted is never reset. Then the program ends.
 func TestStopLosesNothing(t *testing.T) {
 	waits, release := make(chan bool, 1), make(chan bool)
+	answer := sync.OnceFunc(func() { close(release) })
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.Method == "POST" {
 			waits <- true
@@ -127,6 +129,7 @@
 		io.WriteString(w, "ok")
 	}))
 	defer upstream.Close()
+	defer answer()
 	r := startSidecar(t, "127.0.0.1:1", upstream.Listener.Addr().String())
 	slow := make(chan string, 1)
 	go func() {
@@ -154,7 +157,7 @@
 	}
 	time.Sleep(testOpen/3 - time.Since(begun)) // and a new one after a pause
 	ask(n + 1)
-	release <- true
+	answer()
 	if got := receive(t, slow, "the slow answer"); got != "ok" {
 		t.Errorf("the request in hand got %q", got)
 	}
