--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,16 +119,28 @@
 	}
 }
 
-// The list that discovery tells replaces the known one, and the sidecar goes on without discovery.
+// The list that discovery tells replaces the known one, and the sidecar goes on without discovery. A pushed list
+// comes without the module's asking, and its agent is asked again when it was silent.
 func TestFollowsDiscovery(t *testing.T) {
+	for _, mode := range []string{"ask", "push"} {
+		t.Run(mode, func(t *testing.T) { followsDiscovery(t, mode) })
+	}
+}
+
+func followsDiscovery(t *testing.T, mode string) {
+	var calls atomic.Int32
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "new") }))
 	defer upstream.Close()
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		fmt.Fprintf(w, `{"seq":2,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","class":"m","block":0,"health":"SERVING","share":1.0,"born_ms":0}]}`+"\n",
 			upstream.Listener.Addr())
 	}))
 	defer discovery.Close()
-	r := startSidecar(t, discovery.Listener.Addr().String(), noDiscovery)
+	r := startSidecar(t, discovery.Listener.Addr().String(), noDiscovery, `"ask"`, strconv.Quote(mode))
 	// The known address refuses until the list moves it: the sidecar refuses too, and asking again is harmless.
 	begun := time.Now()
 	for n := 0; ; n++ {
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -113,9 +113,10 @@
 	client *http.Client
 }
 
-func startSidecar(t *testing.T, discovery, upstream string) *running {
+// startSidecar starts one; change is pairs of old and new text of its configuration.
+func startSidecar(t *testing.T, discovery, upstream string, change ...string) *running {
 	t.Helper()
-	cfg := loadText(t, fmt.Sprintf(testConfig, discovery, upstream))
+	cfg := loadText(t, strings.NewReplacer(change...).Replace(fmt.Sprintf(testConfig, discovery, upstream)))
 	l, err := newLoop(cfg, quietLog)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -37,7 +37,6 @@
 	bodyTime   = 5 * time.Second // and its body
 	idleTime   = 2 * time.Minute
 	maxHeader  = 32 << 10
-	maxWait    = time.Hour // a client's patience beyond it is cut
 
 	// At a planned restart connections go on coming for a while: close once none has come for stopQuiet, but not
 	// before stopAfter, nor much later.
@@ -51,7 +50,7 @@
 type server struct {
 	loop     *loop
 	effects  map[string]balancer.Effect // by class
-	longest  time.Duration              // deadline
+	longest  time.Duration              // deadline of a class: what a client says beyond it is cut
 	open     time.Duration              // how long connections are expected after the stop
 	stopping atomic.Bool
 	accepted atomic.Int64 // when a connection last came, Unix nanoseconds
@@ -88,6 +87,7 @@
 		Handler:           s,
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
+		WriteTimeout:      bodyTime + s.longest + answerTime, // guards against a client that does not read
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnState: func(_ net.Conn, state http.ConnState) {
@@ -187,7 +187,7 @@
 	}
 	c := &call{id: r.Header.Get(idHeader), class: class, tenant: r.Header.Get(tenantHeader),
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: onward(r.Header), reply: make(chan answer, 1),
-		expires: came.Add(time.Duration(min(wait, maxWait.Milliseconds())) * time.Millisecond)}
+		expires: came.Add(time.Duration(min(wait, s.longest.Milliseconds())) * time.Millisecond)}
 	if cookie, err := r.Cookie(keyCookie); err == nil {
 		c.key = cookie.Value
 	}
@@ -200,7 +200,10 @@
 	if r.Body != http.NoBody {
 		control := http.NewResponseController(w)
 		control.SetReadDeadline(came.Add(bodyTime))
-		c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		var body bytes.Buffer
+		body.Grow(int(max(r.ContentLength, 0)) + bytes.MinRead) // no more memory than the body needs
+		_, err = body.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
+		c.body = body.Bytes()
 		var long *http.MaxBytesError
 		if errors.As(err, &long) {
 			return nil, tooLong()
