--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -119,7 +119,7 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w (%v)", err, context.Cause(ctx))
+		return broken(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -147,7 +147,15 @@
 		d.post(n)
 	}
 	if err := lines.Err(); err != nil {
-		return fmt.Errorf("%w (%v)", err, context.Cause(ctx))
+		return broken(ctx, err)
 	}
 	return fmt.Errorf("the watch ended")
 }
+
+// broken is why a call broke: for what ended ctx, where that was it.
+func broken(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
