Keep idle client connections from taking all the places

Seen in review: beyond the limit on connections new ones wait in the backlog, and idle ones that are kept for two minutes could hold every place (serve in server.go). Taken out, the new test fails: the fifth client times out.

--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"hazelwing/balancer"
 )
 
@@ -133,7 +135,8 @@
 	go func() { l.run(work); close(looped) }()
 	s := newServer(cfg, l)
 	s.open = testOpen
-	go func() { r.ended <- s.serve(ctx, listener, quietLog) }()
+	limited := netutil.LimitListener(listener, cfg.Limits.clientConns())
+	go func() { r.ended <- s.serve(ctx, limited, quietLog) }()
 	t.Cleanup(func() {
 		r.client.CloseIdleConnections()
 		stop()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -52,6 +52,8 @@
 	effects  map[string]balancer.Effect // by class
 	longest  time.Duration              // deadline of a class: what a client says beyond it is cut
 	open     time.Duration              // how long connections are expected after the stop
+	keep     int64                      // connections kept between requests
+	conns    atomic.Int64
 	stopping atomic.Bool
 	accepted atomic.Int64 // when a connection last came, Unix nanoseconds
 }
@@ -74,7 +76,8 @@
 }
 
 func newServer(cfg *Config, l *loop) *server {
-	s := &server{loop: l, effects: map[string]balancer.Effect{}, open: stopAfter}
+	s := &server{loop: l, effects: map[string]balancer.Effect{}, open: stopAfter,
+		keep: int64(cfg.Limits.clientConns() / 2)}
 	for _, c := range cfg.Settings.Settings().Classes {
 		s.effects[c.Name] = c.Effect
 		s.longest = max(s.longest, c.Deadline)
@@ -91,8 +94,12 @@
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnState: func(_ net.Conn, state http.ConnState) {
-			if state == http.StateNew {
+			switch state {
+			case http.StateNew:
+				s.conns.Add(1)
 				s.accepted.Store(time.Now().UnixNano())
+			case http.StateClosed, http.StateHijacked:
+				s.conns.Add(-1)
 			}
 		},
 	}
@@ -143,7 +150,9 @@
 			return
 		}
 	}
-	if s.stopping.Load() {
+	// Half of the connections at most stand idle. Guards against idle ones that keep others, with requests on them,
+	// from being accepted.
+	if s.stopping.Load() || s.conns.Load() > s.keep {
 		w.Header().Set("Connection", "close")
 	}
 	for name, values := range a.header {
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -116,6 +116,27 @@
 	}
 }
 
+// Guards against idle connections that take all the places: those beyond their share are closed with an answer, so
+// that a client that opened many is still served on new ones.
+func TestIdleClientConnectionsLeaveRoom(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
+	defer upstream.Close()
+	r := startSidecar(t, "127.0.0.1:1", upstream.Listener.Addr().String(), `"sockets":1024`, `"sockets":8`)
+	for i := range 8 { // 4 may be open, and of these 2 be kept
+		client := &http.Client{Transport: &http.Transport{}, Timeout: patience}
+		defer client.CloseIdleConnections()
+		resp, err := client.Do(r.request(t, "GET", "look", fmt.Sprint(i), ""))
+		if err != nil {
+			t.Fatalf("client %d: %v", i, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != 200 || i < 2 && resp.Close || i > 3 && !resp.Close {
+			t.Errorf("client %d: %s, connection closed %v", i, resp.Status, resp.Close)
+		}
+	}
+}
+
 // At a planned restart the requests in hand are answered, and so are those that come while the platform still sends
 // new connections: what was accepted is never reset. Then the program ends.
 func TestStopLosesNothing(t *testing.T) {
