--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -1,6 +1,6 @@
 // Command hazelwing is one sidecar: it serves the application beside it at RELAY_LISTEN and sends its requests on
 // to upstreams. It ends with status 0 after SIGTERM or SIGINT, and with status 1 and one line on standard error when
-// it cannot start or serve.
+// it cannot start or serve. On SIGHUP it reads its configuration again.
 package main
 
 import (
@@ -22,6 +22,9 @@
 }
 
 func run() error {
+	// Before all else: a signal that comes early would end the program. One that waits stands for all that follow.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := sidecar.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -29,5 +32,6 @@
 	cfg.Limits.Apply()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return sidecar.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	again := func() (*sidecar.Config, error) { return sidecar.Reload(os.Getenv) }
+	return sidecar.Run(ctx, cfg, reload, again, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,8 +18,9 @@
 
 const (
 	// silence is when a watch counts as dead: an empty line comes every 2 s. Guards against a discovery that is cut
-	// off and says nothing, where TCP notices nothing; a change counts as told 6 s later, whether or not it came.
-	silence = 4 * time.Second
+	// off and says nothing, where TCP notices nothing. What it has to tell counts as told 6 s later, whether or not it
+	// came: by then the next watch has to have brought it.
+	silence = 2500 * time.Millisecond
 	// agentWait is the pause before a pushed list's agent is asked again.
 	agentWait = 500 * time.Millisecond
 	// longestLine bounds a line of the watch.
@@ -67,7 +68,7 @@
 
 // discovery makes the calls. Its connections are used once, so that nothing is sent again behind our back.
 type discovery struct {
-	addr   string
+	addr   string // where the next watch is started; the loop's own
 	client *http.Client
 	post   func(news)
 
@@ -85,12 +86,13 @@
 type watch struct {
 	ctx  context.Context
 	stop context.CancelFunc
+	addr string
 	seq  int64 // of the latest listing; the watch's own goroutine changes it
 }
 
 // start begins a watch on what changed after seq, once pause has passed.
 func (d *discovery) start(seq int64, pause time.Duration) *watch {
-	w := &watch{seq: seq}
+	w := &watch{addr: d.addr, seq: seq}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	go func() {
 		select {
@@ -112,7 +114,7 @@
 	quiet := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("nothing came for %v", d.silence)) })
 	defer quiet.Stop()
 
-	url := "http://" + d.addr + "/discovery/hosts?watch=1&from=" + strconv.FormatInt(w.seq, 10)
+	url := "http://" + w.addr + "/discovery/hosts?watch=1&from=" + strconv.FormatInt(w.seq, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -38,6 +38,7 @@
 		n    int
 		outcome
 	}
+	moved  struct{ discovery string } // a new configuration names this address
 	probed struct {
 		upstream string
 		outcome
@@ -128,6 +129,8 @@
 		}
 	case ended:
 		l.ended(e)
+	case moved:
+		l.move(e.discovery)
 	case probed:
 		l.handle(balancer.ProbeResult{Upstream: e.upstream, Result: e.result, Elapsed: e.elapsed, Load: load(e.answer)})
 	}
@@ -135,6 +138,7 @@
 
 func (l *loop) arrive(c *call) {
 	if l.calls[c.id] != nil {
+		c.answered = true // guards against its client's leaving, which would end the other's request
 		c.reply <- plain(http.StatusBadRequest, "a request with this id is in hand")
 		return
 	}
@@ -175,7 +179,7 @@
 
 // forget lets a request go that is answered and has no attempt out.
 func (l *loop) forget(c *call) {
-	if c.answered && c.out == 0 {
+	if c.answered && c.out == 0 && l.calls[c.id] == c {
 		delete(l.calls, c.id)
 	}
 }
@@ -264,6 +268,14 @@
 	l.watch = l.discovery.start(l.seq, 0)
 }
 
+// move starts a watch at another address at once, on the whole list: versions there may be others, and how long the
+// module would wait after failures belongs to the old one.
+func (l *loop) move(addr string) {
+	l.log.Info("discovery", "addr", addr)
+	l.discovery.addr, l.seq, l.lost = addr, 0, false
+	l.subscribe()
+}
+
 func (l *loop) news(n news) {
 	if n.watch != l.watch {
 		return // of a watch that another call has replaced
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -119,6 +119,23 @@
 	}
 }
 
+// Guards against mixing up two clients: one that used the id of another's open request and left would end that one.
+func TestLeavingDuplicate(t *testing.T) {
+	l := idleLoop(t)
+	first, second := testCall("GET"), testCall("GET")
+	first.class, second.class = "look", "look"
+	first.expires, second.expires = time.Now().Add(patience), time.Now().Add(patience)
+	l.event(first)
+	l.event(second)
+	l.event(gone{second})
+	if l.calls["1"] != first || first.answered {
+		t.Error("the first request was given up")
+	}
+	if a := receive(t, second.reply, "the second's answer"); a.status != 400 {
+		t.Errorf("the second got %d", a.status)
+	}
+}
+
 // The list that discovery tells replaces the known one, and the sidecar goes on without discovery. A pushed list
 // comes without the module's asking, and its agent is asked again when it was silent.
 func TestFollowsDiscovery(t *testing.T) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -7,17 +7,15 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"hazelwing/balancer"
 )
 
@@ -33,10 +31,12 @@
 	keyHeader      = "Idempotency-Key"
 	keyCookie      = "user"
 
-	headerTime = 5 * time.Second // for a client to send a request's header
-	bodyTime   = 5 * time.Second // and its body
-	idleTime   = 2 * time.Minute
+	headerTime = 1250 * time.Millisecond // for a client to send a request's header, from its connection or first byte
+	bodyTime   = 1250 * time.Millisecond // and its body
+	idleTime   = 5 * time.Second
 	maxHeader  = 32 << 10
+	maxID      = 256 // length of an id or a key
+	bodyStart  = 4 << 10
 
 	// At a planned restart connections go on coming for a while: close once none has come for stopQuiet, but not
 	// before stopAfter, nor much later.
@@ -52,14 +52,12 @@
 	effects  map[string]balancer.Effect // by class
 	longest  time.Duration              // deadline of a class: what a client says beyond it is cut
 	open     time.Duration              // how long connections are expected after the stop
-	keep     int64                      // connections kept between requests
-	conns    atomic.Int64
 	stopping atomic.Bool
-	accepted atomic.Int64 // when a connection last came, Unix nanoseconds
 }
 
-// Run serves until ctx ends, and then until everything that was taken is answered.
-func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+// Run serves until ctx ends, and then until everything that was taken is answered. For each signal in reload it calls
+// again for the configuration.
+func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, again func() (*Config, error), log *slog.Logger) error {
 	l, err := newLoop(cfg, log)
 	if err != nil {
 		return err
@@ -72,12 +70,12 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	go l.run(work)
-	return s.serve(ctx, netutil.LimitListener(listener, cfg.Limits.clientConns()), log)
+	go l.reloads(work, reload, again)
+	return s.serve(ctx, newGate(listener, cfg.Limits.clientConns()), log)
 }
 
 func newServer(cfg *Config, l *loop) *server {
-	s := &server{loop: l, effects: map[string]balancer.Effect{}, open: stopAfter,
-		keep: int64(cfg.Limits.clientConns() / 2)}
+	s := &server{loop: l, effects: map[string]balancer.Effect{}, open: stopAfter}
 	for _, c := range cfg.Settings.Settings().Classes {
 		s.effects[c.Name] = c.Effect
 		s.longest = max(s.longest, c.Deadline)
@@ -85,7 +83,7 @@
 	return s
 }
 
-func (s *server) serve(ctx context.Context, listener net.Listener, log *slog.Logger) error {
+func (s *server) serve(ctx context.Context, g *gate, log *slog.Logger) error {
 	h := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTime,
@@ -93,25 +91,17 @@
 		WriteTimeout:      bodyTime + s.longest + answerTime, // guards against a client that does not read
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			switch state {
-			case http.StateNew:
-				s.conns.Add(1)
-				s.accepted.Store(time.Now().UnixNano())
-			case http.StateClosed, http.StateHijacked:
-				s.conns.Add(-1)
-			}
-		},
 	}
+	g.watch(h)
 	fault := make(chan error, 1)
-	go func() { fault <- h.Serve(listener) }()
+	go func() { fault <- h.Serve(g) }()
 	select {
 	case err := <-fault:
 		return err
 	case <-ctx.Done():
 	}
 	s.stopping.Store(true)
-	s.awaitQuiet()
+	s.awaitQuiet(g)
 	last, cancel := context.WithTimeout(context.Background(), s.longest+answerTime)
 	defer cancel()
 	if err := h.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -122,11 +112,11 @@
 
 // awaitQuiet returns when no more connections are to be expected. Guards against closing the listener with
 // connections in its backlog: the machine has accepted them, and they would be reset.
-func (s *server) awaitQuiet() {
+func (s *server) awaitQuiet(g *gate) {
 	begun := time.Now()
 	time.Sleep(s.open)
 	for time.Since(begun) < s.open+stopExtra {
-		quiet := time.Since(time.Unix(0, s.accepted.Load()))
+		quiet := time.Since(time.Unix(0, g.accepted.Load()))
 		if quiet >= stopQuiet {
 			return
 		}
@@ -136,12 +126,22 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
+	// Guards against a body that is announced and never comes: net/http reads on after our answer.
+	if r.Body != http.NoBody {
+		http.NewResponseController(w).SetReadDeadline(came.Add(bodyTime))
+	}
 	var a answer
+	done := false // the connection is of no further use
 	if r.URL.Path == readyPath {
 		a = s.ready(r)
+		done = r.Body != http.NoBody
 	} else if c, refusal := s.read(w, r, came); c == nil {
-		a = refusal
+		// What follows on the connection may be the rest of what was turned down: it is never read as a request.
+		a, done = refusal, true
 	} else {
+		if g := guestOf(r); g != nil {
+			g.opened()
+		}
 		s.loop.events <- c
 		select {
 		case a = <-c.reply:
@@ -150,9 +150,7 @@
 			return
 		}
 	}
-	// Half of the connections at most stand idle. Guards against idle ones that keep others, with requests on them,
-	// from being accepted.
-	if s.stopping.Load() || s.conns.Load() > s.keep {
+	if done || s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	for name, values := range a.header {
@@ -176,6 +174,9 @@
 // read makes a call of a request, or gives the answer that turns it down. The body is read to its end first: only
 // then does the server notice that a client hangs up.
 func (s *server) read(w http.ResponseWriter, r *http.Request, came time.Time) (*call, answer) {
+	if refusal, ok := misframed(r); ok {
+		return nil, refusal
+	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	effect, known := s.effects[class]
 	switch {
@@ -190,40 +191,63 @@
 	case effect == balancer.Keyed != (r.Header.Get(keyHeader) != ""):
 		return nil, plain(http.StatusBadRequest, keyHeader+" goes with the classes that have a key")
 	}
-	wait, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64)
-	if err != nil || wait <= 0 {
+	wait, err := strconv.ParseUint(r.Header.Get(deadlineHeader), 10, 63)
+	if err != nil || wait == 0 {
 		return nil, plain(http.StatusBadRequest, deadlineHeader+" is not a positive whole number")
 	}
 	c := &call{id: r.Header.Get(idHeader), class: class, tenant: r.Header.Get(tenantHeader),
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: onward(r.Header), reply: make(chan answer, 1),
-		expires: came.Add(time.Duration(min(wait, s.longest.Milliseconds())) * time.Millisecond)}
+		expires: came.Add(time.Duration(min(int64(wait), s.longest.Milliseconds())) * time.Millisecond)}
 	if cookie, err := r.Cookie(keyCookie); err == nil {
 		c.key = cookie.Value
 	}
-	if hint, err := strconv.ParseFloat(r.Header.Get(hintHeader), 64); err == nil && hint > 0 && hint < math.MaxInt32 {
-		c.hint = time.Duration(hint * float64(time.Microsecond))
-	}
-	if r.ContentLength > maxBody {
-		return nil, tooLong()
+	if hint, err := strconv.ParseFloat(r.Header.Get(hintHeader), 64); err == nil && hint > 0 {
+		// Guards against a hint that no request of any class can need: the module compares all others with it.
+		c.hint = time.Duration(min(hint, float64(s.longest.Microseconds())) * float64(time.Microsecond))
 	}
 	if r.Body != http.NoBody {
-		control := http.NewResponseController(w)
-		control.SetReadDeadline(came.Add(bodyTime))
 		var body bytes.Buffer
-		body.Grow(int(max(r.ContentLength, 0)) + bytes.MinRead) // no more memory than the body needs
-		_, err = body.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
+		// Guards against memory held for what is announced and never comes.
+		body.Grow(int(min(max(r.ContentLength, 0), bodyStart)) + bytes.MinRead)
+		_, err = body.ReadFrom(r.Body)
 		c.body = body.Bytes()
-		var long *http.MaxBytesError
-		if errors.As(err, &long) {
-			return nil, tooLong()
-		} else if err != nil {
+		if err != nil {
 			return nil, plain(http.StatusBadRequest, "the body did not come whole")
 		}
-		control.SetReadDeadline(time.Time{})
+		http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	return c, answer{}
 }
 
+// misframed turns down a request whose end cannot be told for sure, or whose headers can be read in more than one
+// way. Guards against requests hidden in the bodies of others: where both Transfer-Encoding and Content-Length are
+// there, net/http shows the former only, so no chunked request is taken; HTTP/1.0 does not know chunks.
+func misframed(r *http.Request) (answer, bool) {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return plain(http.StatusLengthRequired, "a request tells its length"), true
+	case !r.ProtoAtLeast(1, 1):
+		return plain(http.StatusHTTPVersionNotSupported, "version 1.1 only"), true
+	case r.ContentLength > maxBody:
+		return plain(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", maxBody)), true
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return plain(http.StatusBadRequest, "a GET has no body"), true
+	}
+	for _, name := range []string{idHeader, classHeader, deadlineHeader, keyHeader} {
+		values := r.Header[name]
+		if len(values) > 1 {
+			return plain(http.StatusBadRequest, name+" is there more than once"), true
+		}
+		if len(values) == 1 && (len(values[0]) > maxID || strings.ContainsFunc(values[0], notPlain)) {
+			return plain(http.StatusBadRequest, name+" is too long or not plain text"), true
+		}
+	}
+	return answer{}, false
+}
+
+// notPlain runes are none of ASCII's visible ones.
+func notPlain(r rune) bool { return r <= ' ' || r > '~' }
+
 // hopByHop headers belong to one connection and are not passed on.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
@@ -261,10 +285,6 @@
 		body: []byte(text + "\n")}
 }
 
-func tooLong() answer {
-	return plain(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", maxBody))
-}
-
 // refused says that trying again is harmless, and when to.
 func refused(retryIn time.Duration) answer {
 	a := plain(http.StatusServiceUnavailable, "refused: try again later")
