--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -57,7 +57,7 @@
 	tryVotes     = 20               // requests that settle what time left is usual
 	coldPart     = 0.45             // share used of what pushes a cold upstream over: it may be a small one
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
-	askMax       = 2 * time.Second  // what is told while nobody asks counts as told after a few seconds
+	askMax       = 2 * time.Second  // what nobody asks for counts as told, too
 	probePrice   = 0.02             // share of service that asking a pair may cost; half of it is cheap
 	fewBalancers = 10               // fewer sidecars see a fair part of an upstream's pending themselves
 	probeAgain   = 32               // where probes are slow, one request in so many asks again
