--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -57,16 +57,16 @@
 	tryVotes     = 20               // requests that settle what time left is usual
 	coldPart     = 0.45             // share used of what pushes a cold upstream over: it may be a small one
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
-	askMax       = 2 * time.Second  // what nobody asks for counts as told, too
-	probePrice   = 0.02             // share of service that asking a pair may cost; half of it is cheap
-	fewBalancers = 10               // fewer sidecars see a fair part of an upstream's pending themselves
-	probeAgain   = 32               // where probes are slow, one request in so many asks again
-	keyWidth     = 2.0              // a key with a share of traffic is kept to this many times that share of upstreams
-	keyMemory    = 200.0            // requests over which such shares are counted
-	pairTries    = 4                // pairs asked before a request is refused for what they hold
-	crowdedLow   = 0.6              // time that a request of the least worth may be told to take, of what it has
-	unitWeight   = 0.1              // weight of a new sample of the time for each request held: jams form fast
-	drawTries    = 8                // draws before the whole list is looked at
+	askMax       = 2 * time.Second
+	probePrice   = 0.02  // share of service that asking a pair may cost; half of it is cheap
+	fewBalancers = 10    // fewer sidecars see a fair part of an upstream's pending themselves
+	probeAgain   = 32    // where probes are slow, one request in so many asks again
+	keyWidth     = 2.0   // a key with a share of traffic is kept to this many times that share of upstreams
+	keyMemory    = 200.0 // requests over which such shares are counted
+	pairTries    = 4     // pairs asked before a request is refused for what they hold
+	crowdedLow   = 0.6   // time that a request of the least worth may be told to take, of what it has
+	unitWeight   = 0.1   // weight of a new sample of the time for each request held: jams form fast
+	drawTries    = 8     // draws before the whole list is looked at
 )
 
 // New returns the decisions of one sidecar, or an error that names the setting that cannot be used.
