Take long answers; one broken connection is no death; pass on what upstreams turn down

One Reset ejects no more, two with no answer between do: a single connection may break while its process lives.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -316,9 +316,8 @@
 	b.move(r)
 }
 
-// letGo closes the idle connections to u. Guards against tables full of idle connections: all sidecars
-// together open one each to every upstream. A connection is used again after a round of the list. Kept open
-// for that by every sidecar, it costs more than opening it anew where 100 handshakes a sidecar are cheaper.
+// letGo closes the idle connections to u. Guards against tables full of idle connections: one of each sidecar
+// costs more than a new one in each round of the list where 100 handshakes a sidecar are cheaper.
 func (b *Balancer) letGo(u *upstream) {
 	if len(u.out) == 0 && b.set.PriceOpen*float64(b.set.Balancers) > 100*b.set.PriceHandshake {
 		b.act(Action{Kind: Close, Upstream: u.id})
@@ -594,9 +593,9 @@
 	return u.ejections == 0 || len(u.out) == 0 && r.class.Effect != Unsafe
 }
 
-// health ejects an upstream that refuses connections, breaks them, answers errors only or stays silent.
-// Guards against crashed upstreams (their instant refusals look fast), hung ones, and failing ones: beside
-// queues longer than the penalty their errors look fast too.
+// health ejects an upstream that refuses connections, breaks more than one, answers errors only or is silent.
+// Guards against crashed upstreams (instant refusals look fast), hung ones, and failing ones: beside queues
+// longer than the penalty their errors look fast too. One connection may break though its process lives.
 func (b *Balancer) health(a *attempt, res Result, elapsed time.Duration) {
 	u := a.u
 	switch res {
@@ -621,7 +620,7 @@
 		if u.fails++; u.fails == 1 {
 			u.silentSince = a.sent
 		}
-		dead := res == Reset || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
+		dead := res == Reset && u.fails > 1 || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
 		silent := u.fails > 1 && (b.now-u.silentSince).Seconds() > silentAims*b.meanAim
 		if (dead || silent || u.ejections > 0) && b.now >= u.until {
 			b.eject(u)
@@ -789,8 +788,8 @@
 }
 
 // learnLimit narrows the limit for a request that ended late under pressure, and widens it for one in time.
-// Guards against upstreams that slow down when crowded: where aims are many times the work they are long past
-// their best before latency comes near the aim. One not heard of since is paused or hung, not crowded.
+// Guards against upstreams that slow down when crowded, long before latency comes near aims that are many
+// times the work. One not heard of since is paused or hung, not crowded.
 func (b *Balancer) learnLimit(r *request) {
 	if len(r.attempts) == 0 {
 		return
--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -224,6 +224,20 @@
 	return n
 }
 
+// Guards against leaving out an upstream that lives for one connection that broke. A process that died breaks all.
+func TestOneBreakIsNoDeath(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(1)
+	broken := func(id string) { r.request(id, "c", time.Second); r.result(id, 0, Reset, 10*ms) }
+	u := r.b.ups["u0"]
+	if broken("1"); u.until > r.now {
+		t.Error("ejected for one break")
+	}
+	if broken("2"); u.until <= r.now {
+		t.Error("not ejected after two breaks with no answer between")
+	}
+}
+
 // A crash during a deploy: half the fleet cold, one dead; the cold stay within their budget.
 func TestCrashDuringDeploy(t *testing.T) {
 	w := newWorld(t, testSettings(), func(u string) (Result, time.Duration) {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -52,6 +52,14 @@
 // defaultSockets is taken where no limit is told: the usual soft limit of a process.
 const defaultSockets = 1024
 
+// answerShare of the memory limit is what one answer's body may take.
+const answerShare = 1.0 / 64
+
+// answer is what the body of an answer may be: most answers are small, but not all.
+func (l Limits) answer() int64 {
+	return max(leastAnswer, int64(l.MemoryMB*answerShare*(1<<20)))
+}
+
 // otherFiles is what discovery, the log, the listener and the runtime may need.
 const otherFiles = 16
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -78,6 +78,7 @@
 	l := &loop{bal: bal, clock: newClock(), log: log, pushed: !set.MustSubscribe, events: make(chan any, queueLength),
 		lists: make(chan news, queueLength), calls: map[string]*call{}, timer: time.NewTimer(time.Hour),
 		pool: newPool(set.ConnectTimeout, cfg.Settings.ConnIdle(), cfg.Settings.DrainGrace(), cfg.Limits.upstreamConns())}
+	l.pool.body = cfg.Limits.answer()
 	l.timer.Stop()
 	l.discovery = newDiscovery(cfg.Discovery, func(n news) { l.lists <- n })
 	l.lists <- news{kind: balancer.Saved, seq: cfg.Known.Seq, hosts: cfg.Known.Hosts}
@@ -151,7 +152,7 @@
 	c := e.call
 	c.out--
 	switch {
-	case e.result == balancer.OK:
+	case e.result == balancer.OK, e.answer != nil && turnedDown(e.answer.status):
 		l.answer(c, *e.answer)
 	case e.result == balancer.Timeout:
 		c.timedOut = true
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -75,6 +75,20 @@
 	}
 }
 
+// Guards against asking all upstreams for what none can take, and blaming them for it.
+func TestBadRequestIsTheClients(t *testing.T) {
+	var copies atomic.Int32
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		copies.Add(1)
+		http.Error(w, "no such seat", http.StatusNotFound)
+	}))
+	defer upstream.Close()
+	r := startSidecar(t, noDiscovery, upstream.Listener.Addr().String())
+	if resp, body := r.do(t, r.request(t, "GET", "look", "1", "")); resp.StatusCode != 404 || body != "no such seat\n" || copies.Load() != 1 {
+		t.Errorf("%s %q after %d copies", resp.Status, body, copies.Load())
+	}
+}
+
 // What was turned away unseen may be sent again, also where it must not run twice.
 func TestTurnedAwayIsSentAgain(t *testing.T) {
 	addr := rawUpstream(t, func(n int, conn net.Conn, r *bufio.Reader) {
