--- a/internal/sidecar/admit.go
+++ b/internal/sidecar/admit.go
@@ -115,8 +115,25 @@
 	return c.TCPConn.Close()
 }
 
+// keptShare of the places is for connections that have sent a good request, before answers begin to close them.
+const keptShare = 1.0 / 3
+
+// crowded says that there are more such connections than should be kept between requests. Guards against clients that
+// ask once and stay: all clients together may hold only so many, and those with something to ask could open no more.
+func (c *guest) crowded() bool {
+	if c == nil {
+		return false
+	}
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return float64(c.gate.held-c.gate.strangers.Len()) > keptShare*float64(c.gate.max)
+}
+
 // opened says that a good request has come: until its answer is out the connection stays.
 func (c *guest) opened() {
+	if c == nil {
+		return
+	}
 	c.gate.mu.Lock()
 	c.takeOut()
 	c.gate.mu.Unlock()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -33,7 +33,7 @@
 
 	headerTime = 1250 * time.Millisecond // for a client to send a request's header, from its connection or first byte
 	bodyTime   = 1250 * time.Millisecond // and its body
-	idleTime   = 5 * time.Second
+	idleTime   = 2250 * time.Millisecond
 	maxHeader  = 32 << 10
 	maxID      = 256 // length of an id or a key
 	bodyStart  = 4 << 10
@@ -139,9 +139,7 @@
 		// What follows on the connection may be the rest of what was turned down: it is never read as a request.
 		a, done = refusal, true
 	} else {
-		if g := guestOf(r); g != nil {
-			g.opened()
-		}
+		guestOf(r).opened()
 		s.loop.events <- c
 		select {
 		case a = <-c.reply:
@@ -150,7 +148,7 @@
 			return
 		}
 	}
-	if done || s.stopping.Load() {
+	if done || s.stopping.Load() || guestOf(r).crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	for name, values := range a.header {
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -201,7 +201,7 @@
 	}))
 	defer upstream.Close()
 	defer answer()
-	r := startSidecar(t, noDiscovery, upstream.Listener.Addr().String(), `"sockets":1024`, `"sockets":22`) // 3 may be open
+	r := startSidecar(t, noDiscovery, upstream.Listener.Addr().String(), `"sockets":1024`, `"sockets":34`) // 9 may be open
 	slow := make(chan string, 1)
 	go func() {
 		resp, err := r.client.Do(r.request(t, "POST", "book", "slow", "x"))
@@ -226,6 +226,9 @@
 		t.Fatal(err)
 	}
 	silent := r.dial(t)
+	for range 6 {
+		r.dial(t)
+	}
 	if err := ask(r.dial(t), "new"); err != nil {
 		t.Fatalf("a newcomer was not served: %v", err)
 	}
@@ -235,7 +238,7 @@
 	if err := ask(known, "again"); err != nil {
 		t.Errorf("one that had asked was closed before the silent one: %v", err)
 	}
-	for i := range 5 {
+	for i := range 12 {
 		if err := ask(r.dial(t), fmt.Sprint(i)); err != nil {
 			t.Errorf("newcomer %d: %v", i, err)
 		}
@@ -246,6 +249,22 @@
 	}
 }
 
+// Guards against clients that ask once and keep their connection: where many do, answers close it, so that others find
+// a place.
+func TestAnswersCloseWhereManyStay(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
+	defer upstream.Close()
+	r := startSidecar(t, noDiscovery, upstream.Listener.Addr().String(), `"sockets":1024`, `"sockets":34`) // 9 places, 3 to keep
+	for i := range 6 {
+		conn := r.dial(t)
+		r.request(t, "GET", "look", fmt.Sprint(i), "").Write(conn)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != 200 || resp.Close != (i >= 3) {
+			t.Errorf("client %d: %+v, %v", i, resp, err)
+		}
+	}
+}
+
 // At a planned restart the requests in hand are answered, and so are those that come while the platform still sends
 // new connections: what was accepted is never reset. Then the program ends.
 func TestStopLosesNothing(t *testing.T) {
