Take the sidecar apart: an engine that knows no network, fronts and transports beside it

Need: nothing of the sidecar could be used by another program, or tried without its sockets. Change: internal/engine owns the Balancer, calls, attempts and timers; front/httpfront, transport/http1 and membership/watch are packages beside it, platform reads the configuration and daemon puts them together. The engine also takes streams, bounds the calls in hand, ends with a result for each, and takes back what a stall of the host made of outcomes.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -148,6 +148,9 @@
 	Moot                 // never sent
 )
 
+// MayHaveRun says whether an attempt that ended so may have had its effect, or may have it yet.
+func (r Result) MayHaveRun() bool { return r != Overloaded && r != ConnectFailed && r != Moot }
+
 // Load is what an upstream says of itself, late and roughly.
 type Load struct {
 	Told bool    // the report came and says what the upstream holds
@@ -161,6 +164,7 @@
 	Result   Result
 	Elapsed  time.Duration
 	Finished bool // the request has its final answer
+	Load     Load // that came along with it
 }
 
 // Gone says that the client left: no answer is owed any more.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -292,9 +292,12 @@
 	a := r.attempts[e.Attempt]
 	a.out = false
 	r.out--
-	a.mayRun = e.Result != Overloaded && e.Result != ConnectFailed && e.Result != Moot
+	a.mayRun = e.Result.MayHaveRun()
 	a.u.out = slices.DeleteFunc(a.u.out, func(x *attempt) bool { return x == a })
 	b.letGo(a.u)
+	if e.Load.usable() {
+		b.holds(a.u, e.Load.Held)
+	}
 	b.observe(a, e.Result, e.Elapsed)
 	b.health(a, e.Result, e.Elapsed)
 	if e.Finished && !r.done {
@@ -568,9 +571,8 @@
 	}
 	b.probeTime.add(e.Elapsed.Seconds())
 	u.probedAt = 0
-	if e.Result == OK && e.Load.Told && e.Load.Held >= 0 && e.Load.Held < math.MaxInt32 {
-		u.held, u.toldAt = e.Load.Held, b.now
-		b.heldMean += meanWeight * (u.held - b.heldMean)
+	if e.Result == OK && e.Load.usable() {
+		b.holds(u, e.Load.Held)
 	} else {
 		u.mutedAt = b.now
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -140,6 +141,15 @@
 
 func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
 
+// usable says whether a report came and can be true.
+func (l Load) usable() bool { return l.Told && l.Held >= 0 && l.Held < math.MaxInt32 }
+
+// holds takes what u says that it holds.
+func (b *Balancer) holds(u *upstream, n float64) {
+	u.held, u.toldAt = n, b.now
+	b.heldMean += meanWeight * (u.held - b.heldMean)
+}
+
 func (b *Balancer) log(format string, args ...any) {
 	b.act(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -11,7 +11,8 @@
 	"os/signal"
 	"syscall"
 
-	"hazelwing/internal/sidecar"
+	"hazelwing/internal/daemon"
+	"hazelwing/internal/platform"
 )
 
 func main() {
@@ -25,13 +26,13 @@
 	// Before all else: a signal that comes early would end the program. One that waits stands for all that follow.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := sidecar.Load(os.Getenv)
+	cfg, err := platform.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
 	cfg.Limits.Apply()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	again := func() (*sidecar.Config, error) { return sidecar.Reload(os.Getenv) }
-	return sidecar.Run(ctx, cfg, reload, again, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	again := func() (*platform.Config, error) { return platform.Reload(os.Getenv) }
+	return daemon.Run(ctx, cfg, reload, again, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/internal/sidecar/reload.go
+++ b/internal/daemon/reload.go
@@ -1,15 +1,18 @@
-package sidecar
+package daemon
 
 import (
 	"context"
 	"os"
+
+	"hazelwing/internal/membership/watch"
+	"hazelwing/internal/platform"
 )
 
 // New configurations. Of these only discovery's address is taken over: the rest is settled at the start.
 
-// reloads reads the configuration again for each signal, until ctx ends: away from the loop, which does not wait for
+// reloads reads the configuration again for each signal, until ctx ends: away from the engine, which does not wait for
 // files. One that cannot be used is logged, and the old one stays.
-func (l *loop) reloads(ctx context.Context, signals <-chan os.Signal, again func() (*Config, error)) {
+func (s *sidecar) reloads(ctx context.Context, signals <-chan os.Signal, again func() (*platform.Config, error)) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -18,13 +21,10 @@
 		}
 		cfg, err := again()
 		if err != nil {
-			l.log.Error("the new configuration cannot be used: the old one stays", "err", err)
+			s.log.Error("the new configuration cannot be used: the old one stays", "err", err)
 			continue
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case l.events <- moved{cfg.Discovery}:
-		}
+		s.log.Info("discovery", "addr", cfg.Discovery)
+		s.engine.Move(watch.New(cfg.Discovery, s.log))
 	}
 }
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	"hazelwing/internal/platform"
+	"hazelwing/internal/standin/fixture"
+)
+
+// watched is a discovery whose watches say nothing; it tells what was asked and when a watch ended.
+func watched(t *testing.T) (addr string, calls, ends chan string) {
+	t.Helper()
+	calls, ends = make(chan string, 100), make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		w.WriteHeader(http.StatusOK)
+		io.WriteString(w, "\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		ends <- r.URL.RawQuery
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), calls, ends
+}
+
+// A new configuration moves the watch at once, and with the whole list; one that cannot be used changes nothing.
+func TestReload(t *testing.T) {
+	oldAddr, oldCalls, oldEnds := watched(t)
+	newAddr, newCalls, _ := watched(t)
+	r := startSidecar(t, oldAddr, fixture.NoAddr)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	signals := make(chan os.Signal)
+	next := make(chan func() (*platform.Config, error), 1)
+	go r.reloads(ctx, signals, func() (*platform.Config, error) { return (<-next)() })
+	if q := fixture.Receive(t, oldCalls, "the first watch"); q != "watch=1&from=1" {
+		t.Errorf("asked %s", q)
+	}
+	next <- func() (*platform.Config, error) { return nil, errors.New("unusable") }
+	signals <- os.Interrupt
+	next <- func() (*platform.Config, error) { return &platform.Config{Discovery: newAddr}, nil }
+	signals <- os.Interrupt
+	if q := fixture.Receive(t, newCalls, "the new watch"); q != "watch=1&from=0" {
+		t.Errorf("asked %s", q)
+	}
+	fixture.Receive(t, oldEnds, "the old watch's end")
+	if len(oldCalls) > 0 {
+		t.Error("the old discovery was asked again")
+	}
+}
--- /dev/null
+++ b/internal/daemon/rig_test.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"hazelwing/internal/platform"
+	"hazelwing/internal/standin/fixture"
+)
+
+var quietLog = slog.New(slog.DiscardHandler)
+
+// running is a sidecar on loopback.
+type running struct {
+	*sidecar
+	url    string
+	client *http.Client
+}
+
+func loadText(t *testing.T, text string) *platform.Config {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := platform.Load(func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// startSidecar starts one; change is pairs of old and new text of its configuration.
+func startSidecar(t *testing.T, discovery, upstream string, change ...string) *running {
+	t.Helper()
+	cfg := loadText(t, strings.NewReplacer(change...).Replace(fmt.Sprintf(fixture.Config, discovery, upstream)))
+	s, err := build(cfg, quietLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{sidecar: s, url: "http://" + listener.Addr().String(),
+		client: &http.Client{Transport: &http.Transport{}, Timeout: fixture.Patience}}
+	ran := make(chan struct{})
+	go func() { s.engine.Run(ctx); close(ran) }()
+	go s.front.Serve(ctx, listener, cfg.Limits.ClientConns(), quietLog)
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		stop()
+		<-ran
+	})
+	return r
+}
+
+// request is one as the application sends it.
+func (r *running) request(t *testing.T, method, class, id, body string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, r.url+"/"+class+"/a%2Fb?q=1", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body == "" {
+		req.Body, req.ContentLength = nil, 0
+	}
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Class", class)
+	req.Header.Set("X-Deadline-Ms", "15000")
+	if class == "pay" {
+		req.Header.Set("Idempotency-Key", "k"+id)
+	}
+	return req
+}
+
+func (r *running) do(t *testing.T, req *http.Request) (*http.Response, string) {
+	t.Helper()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
--- /dev/null
+++ b/internal/engine/api.go
@@ -0,0 +1,128 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// Call is one request of an application. The front fills it in and leaves it alone once Do has it.
+type Call struct {
+	ID     string // tells it from all others in hand
+	Class  string // one of the settings' classes
+	Tenant string
+	Key    string        // what it is about (affinity); may be absent
+	Hint   time.Duration // expected work; 0: unknown
+	// Expires is when the client stops waiting. The Result comes before it, by twice the settings' Tick.
+	Expires time.Time
+	// Payload is for the transport alone. Several attempts may read it at the same time: nobody changes it.
+	Payload any
+
+	reply chan Result // holds the one result
+
+	// Run's own.
+	attempts []*attempt
+	out      int
+	answered bool
+	timedOut bool
+	begun    int // the attempt whose stream is the client's; -1: none
+	last     error
+	lastAns  any
+}
+
+// attempt is a Call's attempt, from its Send to its outcome.
+type attempt struct {
+	exchange Exchange
+	sent     time.Time
+	verdict  chan bool // whether it may begin its stream
+}
+
+// Kind says what a Result is.
+type Kind int
+
+// The kinds of results.
+const (
+	Served    Kind = iota // Answer is what the transport made of it
+	Begun                 // Answer is a stream that has begun; how it ends is the client's own
+	Refused               // not done: trying again is harmless
+	Failed                // no promise
+	Duplicate             // another call with this ID is in hand; nothing was done for this one
+	Left                  // the client's context ended first
+)
+
+// Result is what becomes of a Call.
+type Result struct {
+	Kind     Kind
+	Answer   any           // Served, Begun; Failed: the last answer that an attempt brought, or nil
+	RetryIn  time.Duration // Refused: when to try again, 0: no advice
+	TimedOut bool          // Failed: an attempt ran out of time
+	Attempts int           // that were started
+	Err      error         // Refused, Failed: why the last attempt ended so, where that is known; Left: the context's
+}
+
+// Outcome is how an exchange ended. Result tells whether it may have run (balancer.Result.MayHaveRun); what proves
+// that it did not is listed in each transport.
+type Outcome struct {
+	Result  balancer.Result
+	Elapsed time.Duration // from when it was asked for to its end; of a stream, to its beginning
+	Answer  any           // what came back; nil: nothing that a client could be given
+	Final   bool          // Answer is for the client, whatever Result says of the member. Set where Result is OK
+	Load    balancer.Load // what the member said of itself along with it
+	Err     error         // why it ended so, where it was not served
+}
+
+// Exchange is one attempt or one probe.
+type Exchange interface {
+	// Run carries it out and returns by its timeout, or soon after Cancel. The engine calls it once, in a goroutine
+	// of its own. Of a stream, Run calls begin when the first of it has come, and goes on only if begin says true:
+	// then the answer is the client's, the timeout no longer counts, and Run returns when the stream has ended.
+	Run(begin func(answer any) bool) Outcome
+	// Cancel ends it, whatever it is doing. It does not block; it may be called at any time, also again.
+	Cancel()
+	// Forbid ends it if nothing of it was written yet, and lets it go on otherwise. It does not block. Guards against
+	// a connection that comes up after the call's result: what is sent then could run for nothing.
+	Forbid()
+}
+
+// Transport reaches the members. The engine calls it from Run's goroutine only; none of its methods may block.
+type Transport interface {
+	// Update follows the list: entries replaces what is known where whole, and changes it otherwise. told is when the
+	// news came: what drains, or is gone, is written nothing new from the settings' grace after it on.
+	Update(whole bool, entries []Member, told time.Time)
+	// Attempt prepares an attempt; nil says that the member is not known.
+	Attempt(member string, c *Call, timeout time.Duration) Exchange
+	// Probe prepares a probe, whose Outcome has its Load; nil says that the member is not known.
+	Probe(member string, timeout time.Duration) Exchange
+	// Close closes the connections to a member that carry nothing.
+	Close(member string)
+}
+
+// Member is an entry of a list of members.
+type Member struct {
+	ID    string // the same at every instance, and after a restart
+	Addr  string // where it listens
+	Zone  string
+	Kind  string // of machine
+	Cell  int
+	State balancer.State
+	// BornMS is when its process started, Unix milliseconds; 0: long ago. Another one is another process.
+	BornMS float64
+}
+
+// News is what a Source tells.
+type News struct {
+	Kind    balancer.MembersKind
+	Seq     int64 // the list's version, from which a later Watch goes on; 0: from the whole list
+	Members []Member
+	Err     error // of kind Failed
+}
+
+// Source tells of members.
+type Source interface {
+	// Watch starts to follow the list, once pause has passed, from version seq on (0: the whole list), and returns
+	// at once. It calls tell from goroutines of its own, one call at a time. News of kind Failed is its last, and it
+	// tells none after stop was called and has returned, but for one that is under way. stop does not block, and may
+	// be called again. The engine calls Watch and stop from Run's goroutine, and has one Watch on at a time.
+	Watch(seq int64, pause time.Duration, tell func(News)) (stop context.CancelFunc)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,489 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+const (
+	queueLength  = 1024
+	probeTimeout = 400 * time.Millisecond
+	// agentWait is the pause before the source of a list that comes unasked is asked again.
+	agentWait = 500 * time.Millisecond
+)
+
+// Config is what an Engine is made of.
+type Config struct {
+	Settings  balancer.Settings
+	Seed      uint64
+	Transport Transport
+	Source    Source // followed from the start, or once the module asks where the settings say MustSubscribe
+	Known     News   // the list as last held, of kind Saved; it may be old, or empty
+	Log       *slog.Logger
+	// MaxCalls bounds the calls in hand, attempts that outlive theirs included; those beyond are refused. 0: the front
+	// bounds them.
+	MaxCalls int
+}
+
+// The events, besides *Call and told.
+type (
+	gone  struct{ call *Call } // the client left
+	began struct {             // an attempt's stream has begun
+		call   *Call
+		n      int
+		answer any
+	}
+	ended struct { // an attempt's outcome
+		call *Call
+		n    int
+		Outcome
+	}
+	moved  struct{ source Source } // the list comes from this one from now on
+	probed struct {
+		member string
+		sent   time.Time
+		Outcome
+	}
+)
+
+// told is news of the watch that was given this mark.
+type told struct {
+	watch *watch
+	News
+}
+
+// watch is one call of the source's Watch.
+type watch struct{ stop context.CancelFunc }
+
+// Engine runs one Balancer. Do and Move may be called from any goroutine.
+type Engine struct {
+	bal       *balancer.Balancer
+	clock     clock
+	transport Transport
+	source    Source
+	log       *slog.Logger
+	pushed    bool // the list comes without the module's asking
+	maxCalls  int
+
+	events chan any
+	lists  chan told     // before all other events
+	closed chan struct{} // Run has returned
+
+	calls  map[string]*Call
+	out    int // exchanges that have not ended
+	watch  *watch
+	seq    int64
+	lost   bool // the pushed list's source did not answer
+	timer  *time.Timer
+	wake   time.Time // when the timer fires; zero: it is not set
+	acts   []balancer.Action
+	beat   *time.Ticker // runs while calls are in hand
+	stalls stalls
+	ending bool // the Balancer is no longer asked
+}
+
+// New makes an Engine, or says which setting cannot be used. Nothing happens before Run.
+func New(cfg Config) (*Engine, error) {
+	bal, err := balancer.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	e := &Engine{bal: bal, clock: newClock(), transport: cfg.Transport, source: cfg.Source,
+		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls,
+		events: make(chan any, queueLength), lists: make(chan told, queueLength), closed: make(chan struct{}),
+		calls: map[string]*Call{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
+	e.timer.Stop()
+	e.beat.Stop()
+	known := cfg.Known
+	known.Kind = balancer.Saved
+	e.lists <- told{News: known}
+	return e, nil
+}
+
+// Do takes a call and returns its one result. It blocks until then, and no longer than ctx: a client that leaves gets
+// Left, and its attempts no answer.
+func (e *Engine) Do(ctx context.Context, c *Call) Result {
+	c.reply, c.begun = make(chan Result, 1), none
+	if !e.post(c) {
+		return Result{Kind: Refused, Err: errClosed}
+	}
+	select {
+	case r := <-c.reply:
+		return r
+	case <-ctx.Done():
+		e.post(gone{c})
+		return Result{Kind: Left, Err: context.Cause(ctx)}
+	case <-e.closed:
+	}
+	select {
+	case r := <-c.reply:
+		return r
+	default:
+		return Result{Kind: Refused, Err: errClosed} // it came too late to be seen
+	}
+}
+
+// Move follows the list at another source from now on, from its whole list.
+func (e *Engine) Move(s Source) { e.post(moved{s}) }
+
+var (
+	errClosed = errors.New("closed")
+	errFull   = errors.New("too many calls in hand")
+)
+
+const none = -1
+
+// post hands an event to Run; false: it has returned.
+func (e *Engine) post(event any) bool {
+	select {
+	case <-e.closed:
+		return false
+	default:
+	}
+	select {
+	case e.events <- event:
+		return true
+	case <-e.closed:
+		return false
+	}
+}
+
+// Run handles events until ctx ends. Then it gives every call in hand its result, refused where none of it was
+// started and failed otherwise, and returns when every exchange has ended.
+func (e *Engine) Run(ctx context.Context) {
+	defer close(e.closed)
+	defer e.beat.Stop()
+	defer e.timer.Stop()
+	if e.pushed {
+		e.subscribe()
+	}
+	for e.step(ctx.Done()) {
+	}
+	e.end()
+}
+
+// step handles one event; false: done is.
+func (e *Engine) step(done <-chan struct{}) bool {
+	// The list goes first: what it tells must not wait behind a burst of calls.
+	select {
+	case n := <-e.lists:
+		e.look()
+		e.news(n)
+		return true
+	default:
+	}
+	select {
+	case <-done:
+		return false
+	case n := <-e.lists:
+		e.look()
+		e.news(n)
+	case <-e.beat.C:
+		e.look()
+	case <-e.timer.C:
+		e.look()
+		e.wake = time.Time{}
+		if until := e.stalls.settled; time.Now().Before(until) {
+			e.wakeAt(until)
+		} else {
+			e.handle(balancer.Wake{})
+		}
+	case event := <-e.events:
+		e.look()
+		e.event(event)
+	}
+	return true
+}
+
+// look notices, before anything else is made of an event, that the host stood still.
+func (e *Engine) look() {
+	if d := e.stalls.look(time.Now(), len(e.calls) > 0); d > 0 {
+		e.log.Warn("this process stood still", "for", d.Round(time.Millisecond))
+	}
+}
+
+func (e *Engine) event(event any) {
+	switch v := event.(type) {
+	case *Call:
+		e.arrive(v)
+	case gone:
+		e.gone(v.call)
+	case began:
+		e.began(v)
+	case ended:
+		e.ended(v)
+	case moved:
+		e.move(v.source)
+	case probed:
+		e.out--
+		e.stalls.correct(&v.Outcome, v.sent, time.Now())
+		e.handle(balancer.ProbeResult{Upstream: v.member, Result: v.Result, Elapsed: v.Elapsed, Load: v.Load})
+	}
+}
+
+func (e *Engine) arrive(c *Call) {
+	switch {
+	case e.ending:
+		c.reply <- Result{Kind: Refused, Err: errClosed}
+		return
+	case e.calls[c.ID] != nil:
+		c.answered = true // guards against its client's leaving, which would end the other's call
+		c.reply <- Result{Kind: Duplicate}
+		return
+	case e.maxCalls > 0 && len(e.calls) >= e.maxCalls:
+		c.answered = true
+		c.reply <- Result{Kind: Refused, Err: errFull}
+		return
+	}
+	if len(e.calls) == 0 {
+		e.stalls.start(time.Now())
+		e.beat.Reset(beatEvery)
+	}
+	e.calls[c.ID] = c
+	e.handle(balancer.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key,
+		Expires: e.clock.at(c.Expires), Hint: c.Hint})
+}
+
+func (e *Engine) gone(c *Call) {
+	switch {
+	case !c.answered:
+		e.finish(c)
+		e.handle(balancer.Gone{ID: c.ID})
+		e.forget(c)
+	case c.begun != none: // it left as its stream began
+		c.attempts[c.begun].exchange.Cancel()
+	}
+}
+
+// began lets an attempt's stream be the call's result, unless the call has one.
+func (e *Engine) began(v began) {
+	c := v.call
+	ok := !c.answered
+	if ok {
+		c.begun = v.n
+		e.result(c, Result{Kind: Begun, Answer: v.answer})
+		e.handle(balancer.FirstByte{ID: c.ID, Attempt: v.n})
+	}
+	c.attempts[v.n].verdict <- ok
+}
+
+func (e *Engine) ended(v ended) {
+	c := v.call
+	c.out--
+	e.out--
+	a := c.attempts[v.n]
+	timedOut := v.Result == balancer.Timeout
+	e.stalls.correct(&v.Outcome, a.sent, time.Now())
+	if v.Final {
+		e.result(c, Result{Kind: Served, Answer: v.Answer})
+	} else {
+		c.timedOut = c.timedOut || timedOut
+		if v.Err != nil {
+			c.last = v.Err
+		}
+		if v.Answer != nil {
+			c.lastAns = v.Answer
+		}
+	}
+	e.handle(balancer.Outcome{ID: c.ID, Attempt: v.n, Result: v.Result, Elapsed: v.Elapsed, Finished: c.answered,
+		Load: v.Load})
+	e.forget(c)
+}
+
+// result gives a call its result, unless it has one or its client has left. All results of what the module has taken
+// pass here.
+func (e *Engine) result(c *Call, r Result) {
+	if !c.answered {
+		e.finish(c)
+		r.Attempts = len(c.attempts)
+		c.reply <- r
+	}
+}
+
+// finish closes a call: of its attempts, those that are not written yet never will be.
+func (e *Engine) finish(c *Call) {
+	c.answered = true
+	for _, a := range c.attempts {
+		a.exchange.Forbid()
+	}
+}
+
+// forget lets a call go that is answered and has no attempt out.
+func (e *Engine) forget(c *Call) {
+	if c.answered && c.out == 0 && e.calls[c.ID] == c {
+		delete(e.calls, c.ID)
+		if len(e.calls) == 0 {
+			e.beat.Stop()
+		}
+	}
+}
+
+// handle lets the module decide on v and carries its actions out in order.
+func (e *Engine) handle(v balancer.Event) {
+	if e.ending {
+		return
+	}
+	e.acts = e.bal.Handle(e.clock.now(), v, e.acts[:0])
+	for i := range e.acts {
+		e.act(&e.acts[i])
+	}
+}
+
+func (e *Engine) act(a *balancer.Action) {
+	switch a.Kind {
+	case balancer.Send:
+		e.send(a)
+	case balancer.Cancel:
+		if c := e.calls[a.ID]; c != nil && a.Attempt < len(c.attempts) {
+			c.attempts[a.Attempt].exchange.Cancel()
+		}
+	case balancer.Refuse:
+		if c := e.calls[a.ID]; c != nil {
+			e.result(c, Result{Kind: Refused, RetryIn: a.RetryIn, Err: c.last})
+			e.forget(c)
+		}
+	case balancer.Fail:
+		if c := e.calls[a.ID]; c != nil {
+			e.result(c, Result{Kind: Failed, TimedOut: c.timedOut, Answer: c.lastAns, Err: c.last})
+			e.forget(c)
+		}
+	case balancer.SetTimer:
+		e.wakeAt(e.clock.time(a.At))
+	case balancer.Subscribe:
+		e.subscribe()
+	case balancer.Close:
+		e.transport.Close(a.Upstream)
+	case balancer.Probe:
+		e.probe(a.Upstream)
+	case balancer.Log:
+		e.log.Info(a.Text)
+	}
+}
+
+func (e *Engine) wakeAt(at time.Time) {
+	if e.wake.IsZero() || at.Before(e.wake) {
+		e.wake = at
+		e.timer.Reset(time.Until(at))
+	}
+}
+
+func (e *Engine) send(a *balancer.Action) {
+	c := e.calls[a.ID]
+	var x Exchange
+	if c != nil {
+		x = e.transport.Attempt(a.Upstream, c, a.Timeout)
+	}
+	if x == nil { // the module holds to what it was told; this is a fault
+		e.log.Error("an attempt that cannot be made", "request", a.ID, "upstream", a.Upstream)
+		return
+	}
+	n := len(c.attempts)
+	at := &attempt{exchange: x, sent: time.Now(), verdict: make(chan bool, 1)}
+	c.attempts = append(c.attempts, at)
+	c.out++
+	e.out++
+	begin := func(answer any) bool {
+		e.events <- began{c, n, answer}
+		return <-at.verdict
+	}
+	go func() { e.events <- ended{c, n, x.Run(begin)} }()
+}
+
+func (e *Engine) probe(member string) {
+	x := e.transport.Probe(member, probeTimeout)
+	if x == nil {
+		return
+	}
+	e.out++
+	sent := time.Now()
+	go func() { e.events <- probed{member, sent, x.Run(func(any) bool { return false })} }()
+}
+
+// end answers all calls in hand and waits for every exchange. The Balancer is no longer asked.
+func (e *Engine) end() {
+	e.ending = true
+	if e.watch != nil {
+		e.watch.stop()
+	}
+	for _, c := range e.calls {
+		if len(c.attempts) == 0 {
+			e.result(c, Result{Kind: Refused, Err: errClosed})
+		}
+		e.result(c, Result{Kind: Failed, Answer: c.lastAns, Err: errClosed})
+		for _, a := range c.attempts {
+			a.exchange.Cancel()
+		}
+	}
+	for e.out > 0 {
+		select {
+		case <-e.lists:
+		case event := <-e.events:
+			e.event(event)
+		}
+	}
+}
+
+// ---- the list ----
+
+func (e *Engine) subscribe() { e.follow(0) }
+
+// follow replaces the watch by a new one.
+func (e *Engine) follow(pause time.Duration) {
+	if e.watch != nil {
+		e.watch.stop()
+	}
+	w := new(watch)
+	e.watch = w
+	w.stop = e.source.Watch(e.seq, pause, func(n News) {
+		select {
+		case e.lists <- told{w, n}:
+		case <-e.closed:
+		}
+	})
+}
+
+// move starts a watch at another source at once, on the whole list: versions there may be others, and how long the
+// module would wait after failures belongs to the old one.
+func (e *Engine) move(s Source) {
+	if e.ending {
+		return
+	}
+	e.source, e.seq, e.lost = s, 0, false
+	e.subscribe()
+}
+
+func (e *Engine) news(n told) {
+	if n.watch != e.watch {
+		return // of a watch that another call has replaced
+	}
+	e.seq = n.Seq
+	if n.Kind == balancer.Failed {
+		e.watch = nil
+		if e.pushed { // the module did not ask: the source is ours to ask again
+			if !e.lost {
+				e.log.Warn("list lost", "err", n.Err)
+			}
+			e.lost = true
+			e.follow(agentWait)
+			return
+		}
+		e.log.Warn("list lost", "err", n.Err)
+		e.handle(balancer.Members{Kind: balancer.Failed})
+		return
+	}
+	e.lost = false
+	e.transport.Update(n.Kind != balancer.Change, n.Members, time.Now())
+	members := make([]balancer.Member, len(n.Members))
+	for i, m := range n.Members {
+		members[i] = balancer.Member{Upstream: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
+			CameUp: e.clock.wall(m.BornMS)}
+	}
+	e.handle(balancer.Members{Kind: n.Kind, Entries: members})
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,325 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/standin/fixture"
+)
+
+// fake is a transport and a source whose every exchange and watch is the test's.
+type fake struct {
+	mu      sync.Mutex
+	members map[string]Member
+	updates int
+	sent    chan *fakeExchange
+	watches chan *fakeWatch
+}
+
+type fakeExchange struct {
+	member            string
+	call              *Call
+	begin             chan any     // makes Run begin a stream
+	verdict           chan bool    // what begin said
+	end               chan Outcome // makes Run return
+	cancelled, forbid chan bool
+}
+
+type fakeWatch struct {
+	seq  int64
+	tell func(News)
+	ctx  context.Context
+}
+
+func newFake() *fake {
+	return &fake{members: map[string]Member{}, sent: make(chan *fakeExchange, 1000), watches: make(chan *fakeWatch, 100)}
+}
+
+func (f *fake) Update(whole bool, entries []Member, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.updates++
+	for _, m := range entries {
+		f.members[m.ID] = m
+	}
+}
+
+func (f *fake) Attempt(member string, c *Call, _ time.Duration) Exchange {
+	x := &fakeExchange{member: member, call: c, begin: make(chan any), verdict: make(chan bool, 1),
+		end: make(chan Outcome, 1), cancelled: make(chan bool, 10), forbid: make(chan bool, 10)}
+	f.sent <- x
+	return x
+}
+
+func (f *fake) Probe(string, time.Duration) Exchange { return nil }
+func (f *fake) Close(string)                         {}
+
+func (x *fakeExchange) Run(begin func(any) bool) Outcome {
+	for {
+		select {
+		case a := <-x.begin:
+			x.verdict <- begin(a)
+		case o := <-x.end:
+			return o
+		case <-x.cancelled:
+			return Outcome{Result: balancer.Cancelled}
+		}
+	}
+}
+func (x *fakeExchange) Cancel() { x.cancelled <- true }
+func (x *fakeExchange) Forbid() { x.forbid <- true }
+
+func (f *fake) Watch(seq int64, _ time.Duration, tell func(News)) context.CancelFunc {
+	w := &fakeWatch{seq: seq, tell: tell}
+	var stop context.CancelFunc
+	w.ctx, stop = context.WithCancel(context.Background())
+	f.watches <- w
+	return stop
+}
+
+func testSettings() balancer.Settings {
+	return balancer.Settings{MustSubscribe: true, Tick: time.Millisecond, MaxAttempts: 3, SecondCopies: true, Cancelling: true,
+		RetryAfter: true, MaxRetryAfter: time.Second, Classes: []balancer.Class{
+			{Name: "look", Aim: fixture.Patience, Deadline: fixture.Patience},
+			{Name: "book", Aim: fixture.Patience, Deadline: fixture.Patience, Effect: balancer.Unsafe},
+			{Name: "follow", Aim: fixture.Patience, Deadline: fixture.Patience, Stream: true}}}
+}
+
+// fleet is n members.
+func fleet(n int) (list []Member) {
+	for i := range n {
+		list = append(list, Member{ID: fmt.Sprintf("m%d", i), Zone: "a"})
+	}
+	return list
+}
+
+// idle is an engine that nothing runs but the test.
+func idle(t *testing.T, f *fake, set balancer.Settings, members int) *Engine {
+	t.Helper()
+	e, err := New(Config{Settings: set, Seed: 1, Transport: f, Source: f, Known: News{Seq: 7, Members: fleet(members)}, MaxCalls: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.step(nil) // the known list; the module asks for changes
+	return e
+}
+
+// start runs an engine until the test ends.
+func start(t *testing.T, f *fake, members int) (*Engine, context.CancelFunc) {
+	t.Helper()
+	e := idle(t, f, testSettings(), members)
+	ctx, stop := context.WithCancel(context.Background())
+	go e.Run(ctx)
+	t.Cleanup(func() {
+		stop()
+		fixture.Receive(t, e.closed, "the engine's end")
+	})
+	return e, stop
+}
+
+func newCall(id, class string) *Call {
+	return &Call{ID: id, Class: class, Expires: time.Now().Add(fixture.Patience), reply: make(chan Result, 1), begun: none}
+}
+
+func do(e *Engine, ctx context.Context, c *Call) chan Result {
+	done := make(chan Result, 1)
+	go func() { done <- e.Do(ctx, c) }()
+	return done
+}
+
+func TestServed(t *testing.T) {
+	f := newFake()
+	e, _ := start(t, f, 2)
+	done := do(e, t.Context(), newCall("1", "book"))
+	x := fixture.Receive(t, f.sent, "the attempt")
+	x.end <- Outcome{Result: balancer.OK, Final: true, Answer: "seat"}
+	if r := fixture.Receive(t, done, "the result"); r.Kind != Served || r.Answer != "seat" || r.Attempts != 1 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// What may have run is not sent again where it must not run twice, and what never did is.
+func TestUnsafeIsSentAgainOnlyWhereItNeverRan(t *testing.T) {
+	for result, again := range map[balancer.Result]bool{balancer.Reset: false, balancer.Timeout: false, balancer.ServerError: false,
+		balancer.Overloaded: true, balancer.ConnectFailed: true, balancer.Moot: true} {
+		if result.MayHaveRun() == again {
+			t.Errorf("result %d may have run: %v", result, result.MayHaveRun())
+		}
+		f := newFake()
+		e, _ := start(t, f, 3)
+		done := do(e, t.Context(), newCall("1", "book"))
+		cause := errors.New("cause")
+		fixture.Receive(t, f.sent, "the attempt").end <- Outcome{Result: result, Err: cause, Answer: "its words"}
+		if !again {
+			r := fixture.Receive(t, done, "the result")
+			if r.Kind != Failed || r.Err != cause || r.Answer != "its words" || len(f.sent) > 0 || r.TimedOut != (result == balancer.Timeout) {
+				t.Errorf("result %d: %+v", result, r)
+			}
+			continue
+		}
+		fixture.Receive(t, f.sent, "another attempt").end <- Outcome{Result: balancer.OK, Final: true}
+		if r := fixture.Receive(t, done, "the result"); r.Kind != Served || r.Attempts != 2 {
+			t.Errorf("result %d: %+v", result, r)
+		}
+	}
+}
+
+// A client that leaves gets no answer, and what is not yet written of its call never is.
+func TestClientLeaves(t *testing.T) {
+	f := newFake()
+	e, _ := start(t, f, 2)
+	ctx, leave := context.WithCancel(t.Context())
+	done := do(e, ctx, newCall("1", "book"))
+	x := fixture.Receive(t, f.sent, "the attempt")
+	leave()
+	if r := fixture.Receive(t, done, "the result"); r.Kind != Left || !errors.Is(r.Err, context.Canceled) {
+		t.Errorf("%+v", r)
+	}
+	fixture.Receive(t, x.forbid, "word that nothing more may be written")
+	x.end <- Outcome{Result: balancer.Reset}
+}
+
+// Guards against mixing up two clients: one that used the id of another's open call and left would end that one.
+func TestLeavingDuplicate(t *testing.T) {
+	e := idle(t, newFake(), testSettings(), 1)
+	first, second := newCall("1", "look"), newCall("1", "look")
+	e.event(first)
+	e.event(second)
+	e.event(gone{second})
+	if e.calls["1"] != first || first.answered {
+		t.Error("the first call was given up")
+	}
+	if r := fixture.Receive(t, second.reply, "the second's result"); r.Kind != Duplicate {
+		t.Errorf("the second got %+v", r)
+	}
+}
+
+// Guards against memory that grows with what a front lets in.
+func TestMaxCalls(t *testing.T) {
+	e := idle(t, newFake(), testSettings(), 1)
+	for i := range 100 {
+		e.event(newCall(fmt.Sprint(i), "look"))
+	}
+	c := newCall("one more", "look")
+	e.event(c)
+	if r := fixture.Receive(t, c.reply, "the result"); r.Kind != Refused || !errors.Is(r.Err, errFull) || len(e.calls) != 100 {
+		t.Errorf("%+v with %d calls in hand", r, len(e.calls))
+	}
+}
+
+// Of two copies whose streams begin only one is the client's, and a stream that has begun is never tried again.
+func TestStream(t *testing.T) {
+	f := newFake()
+	e := idle(t, f, testSettings(), 3)
+	c := newCall("1", "follow")
+	e.event(c)
+	x := fixture.Receive(t, f.sent, "the attempt")
+	e.send(&balancer.Action{ID: "1", Upstream: "m1", Timeout: fixture.Patience})
+	y := fixture.Receive(t, f.sent, "the copy")
+	y.begin <- "stream"
+	fixture.Until(t, "its beginning", func() bool { return len(e.events) == 1 })
+	x.begin <- "other"
+	fixture.Until(t, "the other's", func() bool { return len(e.events) == 2 })
+	e.event(<-e.events)
+	if r := fixture.Receive(t, c.reply, "the result"); r.Kind != Begun || r.Answer != "stream" || !<-y.verdict {
+		t.Errorf("%+v", r)
+	}
+	e.event(<-e.events)
+	if <-x.verdict {
+		t.Error("two streams are the client's")
+	}
+	e.event(<-e.events) // the module cancels the copy
+	y.end <- Outcome{Result: balancer.Reset}
+	e.event(<-e.events)
+	if len(e.calls) != 0 || len(f.sent) > 0 {
+		t.Errorf("%d calls in hand, %d more attempts", len(e.calls), len(f.sent))
+	}
+}
+
+// A client that leaves as its stream begins would leave it running for nobody.
+func TestLeavesAsStreamBegins(t *testing.T) {
+	f := newFake()
+	e := idle(t, f, testSettings(), 1)
+	c := newCall("1", "follow")
+	e.event(c)
+	x := fixture.Receive(t, f.sent, "the attempt")
+	x.begin <- "stream"
+	e.event(<-e.events)
+	e.event(gone{c})
+	if e.event(<-e.events); len(e.calls) != 0 {
+		t.Error("the stream goes on")
+	}
+}
+
+// At the end every call gets its result, and the engine returns only when all exchanges have.
+func TestEnd(t *testing.T) {
+	f := newFake()
+	e, stop := start(t, f, 2)
+	sent := do(e, t.Context(), newCall("1", "book"))
+	fixture.Receive(t, f.sent, "the attempt")
+	stop()
+	if r := fixture.Receive(t, sent, "the result"); r.Kind != Failed || !errors.Is(r.Err, errClosed) {
+		t.Errorf("what may run got %+v", r)
+	}
+	fixture.Receive(t, e.closed, "the end")
+	if r := e.Do(t.Context(), newCall("2", "book")); r.Kind != Refused {
+		t.Errorf("a call after the end got %+v", r)
+	}
+	e.Move(f) // neither blocks
+}
+
+// Guards against news of a watch that was replaced: its end would be taken for the end of the new one.
+func TestNewsOfAnOldWatch(t *testing.T) {
+	f := newFake()
+	e := idle(t, f, testSettings(), 1)
+	old := fixture.Receive(t, f.watches, "the first watch")
+	if old.seq != 7 {
+		t.Errorf("it goes on from %d", old.seq)
+	}
+	e.subscribe()
+	fixture.Receive(t, f.watches, "the second watch")
+	current, updates := e.watch, f.updates
+	old.tell(News{Kind: balancer.Failed})
+	old.tell(News{Kind: balancer.Full, Seq: 9})
+	e.step(nil)
+	e.step(nil)
+	if e.watch != current || e.seq == 9 || f.updates != updates || old.ctx.Err() == nil {
+		t.Error("an old watch was heard")
+	}
+}
+
+// Guards against the module's wait after failures, which belongs to the old source.
+func TestMoveDuringBackOff(t *testing.T) {
+	f, next := newFake(), newFake()
+	e := idle(t, f, testSettings(), 1)
+	for range 10 {
+		e.news(told{e.watch, News{Kind: balancer.Failed}})
+		e.subscribe()
+	}
+	e.event(moved{next})
+	if w := fixture.Receive(t, next.watches, "the new watch"); w.seq != 0 {
+		t.Errorf("it goes on from %d, a version of the other", w.seq)
+	}
+}
+
+// A drain has to be heard before whatever else waits: what is sent after it may come too late.
+func TestListGoesFirst(t *testing.T) {
+	for range 10 { // without the order, each has an even chance
+		f := newFake()
+		e := idle(t, f, testSettings(), 1)
+		e.events <- newCall("1", "look")
+		leaving := fleet(1)
+		leaving[0].State = balancer.Leaving
+		e.lists <- told{e.watch, News{Kind: balancer.Change, Seq: 8, Members: leaving}}
+		e.step(nil)
+		e.step(nil)
+		if len(f.sent) > 0 {
+			t.Fatal("a call went before the drain")
+		}
+	}
+}
--- a/internal/sidecar/admit.go
+++ b/internal/front/httpfront/admit.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"container/list"
--- /dev/null
+++ b/internal/membership/watch/watch.go
@@ -0,0 +1,168 @@
+// Package watch is the source of members that the platform's discovery is: a call that stays open and brings a JSON
+// object a line with what changed.
+package watch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+)
+
+// The watch on discovery.
+
+const (
+	// silence is when a watch counts as dead: an empty line comes every 2 s. Guards against a discovery that is cut
+	// off and says nothing, where TCP notices nothing. What it has to tell counts as told 6 s later, whether or not it
+	// came: by then the next watch has to have brought it.
+	silence = 2500 * time.Millisecond
+	// longestLine bounds a line of the watch.
+	longestLine = 4 << 20
+)
+
+// Listing is the list of members, or what changed in it, in discovery's form.
+type Listing struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Host is an entry. Dial is where it listens, as seen from this instance; Host is who it is.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	BornMS float64 `json:"born_ms"`
+}
+
+// Members are the entries as the engine knows them. One of a health that is not known is taken to drain.
+func (l *Listing) Members() ([]engine.Member, error) {
+	members := make([]engine.Member, len(l.Hosts))
+	var odd error
+	for i, h := range l.Hosts {
+		state, err := h.state()
+		odd = errors.Join(odd, err)
+		members[i] = engine.Member{ID: h.Host, Addr: h.Dial, Zone: h.Site, Kind: h.Class, Cell: h.Block, State: state,
+			BornMS: h.BornMS}
+	}
+	return members, odd
+}
+
+func (h *Host) state() (balancer.State, error) {
+	switch h.Health {
+	case "SERVING":
+		return balancer.Active, nil
+	case "DRAINING":
+		return balancer.Leaving, nil
+	case "DELETED":
+		return balancer.Left, nil
+	}
+	return balancer.Leaving, fmt.Errorf("upstream %s: health %q is not known", h.Host, h.Health)
+}
+
+// Discovery makes the calls. Its connections are used once, so that nothing is sent again behind our back.
+type Discovery struct {
+	addr   string
+	log    *slog.Logger
+	client *http.Client
+
+	silence time.Duration // when a watch counts as dead
+}
+
+// New is the discovery at addr. Nothing is asked before Watch.
+func New(addr string, log *slog.Logger) *Discovery {
+	return &Discovery{addr: addr, log: log, silence: silence, client: &http.Client{Transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: silence}).DialContext,
+		DisableKeepAlives: true, DisableCompression: true,
+	}}}
+}
+
+// Watch follows what changes after seq. It ends with news of kind Failed, unless it is stopped first.
+func (d *Discovery) Watch(seq int64, pause time.Duration, tell func(engine.News)) context.CancelFunc {
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		last, err := d.follow(ctx, seq, tell)
+		if ctx.Err() == nil {
+			tell(engine.News{Kind: balancer.Failed, Seq: last, Err: err})
+		}
+	}()
+	return stop
+}
+
+// follow makes one call and tells what it brings. It returns the version to go on from, and why it ended.
+func (d *Discovery) follow(ctx context.Context, seq int64, tell func(engine.News)) (int64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("nothing came for %v", d.silence)) })
+	defer quiet.Stop()
+
+	url := "http://" + d.addr + "/discovery/hosts?watch=1&from=" + strconv.FormatInt(seq, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return seq, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return seq, broken(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return seq, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, longestLine)
+	for told := false; lines.Scan(); {
+		quiet.Reset(d.silence)
+		n := engine.News{Kind: balancer.Change}
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			var l Listing
+			if err := json.Unmarshal(line, &l); err != nil {
+				// What it said is missing from now on: ask for the whole list.
+				return 0, fmt.Errorf("a line of the watch: %w", err)
+			}
+			var odd error
+			if n.Members, odd = l.Members(); odd != nil {
+				d.log.Warn("an entry of the list", "err", odd)
+			}
+			seq = l.Seq
+			if l.Whole {
+				n.Kind = balancer.Full
+			}
+		} else if told {
+			continue // an empty line only says that nothing changed, as news at the beginning
+		}
+		told, n.Seq = true, seq
+		tell(n)
+	}
+	if err := lines.Err(); err != nil {
+		return seq, broken(ctx, err)
+	}
+	return seq, fmt.Errorf("the watch ended")
+}
+
+// broken is why a call broke: for what ended ctx, where that was it.
+func broken(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
--- a/internal/sidecar/config.go
+++ b/internal/platform/config.go
@@ -1,6 +1,5 @@
-// Package sidecar carries out on real sockets what package balancer decides: it serves the application, sends
-// attempts and probes to upstreams and follows discovery. It makes no decisions of its own.
-package sidecar
+// Package platform reads the configuration that the platform gives a sidecar.
+package platform
 
 import (
 	"cmp"
@@ -12,8 +11,8 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"time"
 
+	"hazelwing/internal/membership/watch"
 	"hazelwing/internal/wire"
 )
 
@@ -24,7 +23,7 @@
 	Discovery string
 	Seed      hexSeed
 	Limits    Limits
-	Known     listing
+	Known     watch.Listing
 	Settings  *wire.Env
 }
 
@@ -55,19 +54,19 @@
 // answerShare of the memory limit is what one answer's body may take.
 const answerShare = 1.0 / 64
 
-// answer is what the body of an answer may be: most answers are small, but not all.
-func (l Limits) answer() int64 {
-	return max(leastAnswer, int64(l.MemoryMB*answerShare*(1<<20)))
-}
+// Answer is what the body of an answer may be at most, in bytes: most answers are small, but not all.
+func (l Limits) Answer() int64 { return int64(l.MemoryMB * answerShare * (1 << 20)) }
 
 // otherFiles is what discovery, the log, the listener and the runtime may need.
 const otherFiles = 16
 
-// clientConns and upstreamConns share the descriptors: a request needs one of each.
-func (l Limits) clientConns() int {
+// ClientConns is how many connections of clients may be held. They and UpstreamConns share the descriptors: a request needs one of each.
+func (l Limits) ClientConns() int {
 	return max(1, (cmp.Or(l.Sockets, defaultSockets)-otherFiles)/2)
 }
-func (l Limits) upstreamConns() int { return l.clientConns() }
+
+// UpstreamConns is the part for connections to upstreams.
+func (l Limits) UpstreamConns() int { return l.ClientConns() }
 
 // hexSeed is a seed for random numbers, written as hexadecimal digits.
 type hexSeed uint64
@@ -136,23 +135,3 @@
 	}
 	return nil
 }
-
-// past is how long before the start the module's clock begins: an upstream that came up shortly before the sidecar
-// did is still cold, and has to have a time on that clock.
-const past = time.Hour
-
-// clock is the module's clock: monotonic, but for what comes from outside as wall time.
-type clock struct{ base time.Time }
-
-func newClock() clock { return clock{time.Now().Add(-past)} }
-
-func (c clock) now() time.Duration           { return time.Since(c.base) }
-func (c clock) at(t time.Time) time.Duration { return t.Sub(c.base) }
-func (c clock) time(d time.Duration) time.Time {
-	return c.base.Add(d)
-}
-
-// wall maps Unix milliseconds; 0 or before the clock's begin is long ago: 0.
-func (c clock) wall(ms float64) time.Duration {
-	return max(0, time.Duration(ms-float64(c.base.UnixMilli()))*time.Millisecond)
-}
