A plug-in for gRPC clients: hazelgrpc, its transport, and stand-in fleets

Need: shops without room for a daemon want the same decisions inside their Go client. Change: rpc/hazelgrpc takes calls as a grpc.ClientConnInterface or behind grpc.NewClient; internal/transport/grpc sends one stream an attempt, and denies grpc-go's transparent retries; internal/standin has nodes, discovery, fault scripts, recorded traffic and replay, and a frame-by-frame gRPC server.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -27,6 +27,9 @@
 	// MaxCalls bounds the calls in hand, attempts that outlive theirs included; those beyond are refused. 0: the front
 	// bounds them.
 	MaxCalls int
+	// CancelGone ends the attempts of a call whose client left. Without it they run on, and tell the module how they
+	// end, as on the platform.
+	CancelGone bool
 }
 
 // The events, besides *Call and told.
@@ -68,6 +71,7 @@
 	log       *slog.Logger
 	pushed    bool // the list comes without the module's asking
 	maxCalls  int
+	hasty     bool // Config.CancelGone
 
 	events chan any
 	lists  chan told     // before all other events
@@ -96,7 +100,7 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	e := &Engine{bal: bal, clock: newClock(), transport: cfg.Transport, source: cfg.Source,
-		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls,
+		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls, hasty: cfg.CancelGone,
 		events: make(chan any, queueLength), lists: make(chan told, queueLength), closed: make(chan struct{}),
 		calls: map[string]*Call{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
 	e.timer.Stop()
@@ -256,6 +260,11 @@
 	case !c.answered:
 		e.finish(c)
 		e.handle(balancer.Gone{ID: c.ID})
+		if e.hasty {
+			for _, a := range c.attempts {
+				a.exchange.Cancel()
+			}
+		}
 		e.forget(c)
 	case c.begun != none: // it left as its stream began
 		c.attempts[c.begun].exchange.Cancel()
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Host is an entry of discovery's list, in the platform's form.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"` // SERVING, DRAINING, DELETED
+	Share  float64 `json:"share"`
+	BornMS float64 `json:"born_ms"`
+}
+
+type listing struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Discovery is the platform's, on loopback: the whole list, or a watch on its changes.
+type Discovery struct {
+	l   net.Listener
+	srv *http.Server
+
+	mu      sync.Mutex
+	seq     int64
+	hosts   map[string]Host
+	log     []listing // changes, in order
+	changed chan struct{}
+}
+
+// keepAlive is how often an empty line comes while nothing changes.
+const keepAlive = 500 * time.Millisecond
+
+// NewDiscovery starts one.
+func NewDiscovery() (*Discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{l: l, hosts: map[string]Host{}, changed: make(chan struct{})}
+	d.srv = &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second}
+	go d.srv.Serve(l)
+	return d, nil
+}
+
+// Addr is where it listens.
+func (d *Discovery) Addr() string { return d.l.Addr().String() }
+
+// Close ends it, and all watches.
+func (d *Discovery) Close() { d.srv.Close() }
+
+// Set changes an entry, and tells all watches.
+func (d *Discovery) Set(h Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	h.Share = 1
+	if h.Health == "DELETED" {
+		delete(d.hosts, h.Host)
+	} else {
+		d.hosts[h.Host] = h
+	}
+	d.log = append(d.log, listing{Seq: d.seq, Hosts: []Host{h}})
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// after returns what a watch that has seq is to be told, and what is closed at the next change.
+func (d *Discovery) after(seq int64) ([]listing, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if seq > 0 && seq <= d.seq {
+		return d.log[seq:], d.changed // entry i of the log has the version i+1
+	}
+	whole := listing{Seq: d.seq, Whole: true, Hosts: []Host{}}
+	for _, h := range d.hosts {
+		whole.Hosts = append(whole.Hosts, h)
+	}
+	return []listing{whole}, d.changed
+}
+
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/discovery/hosts" {
+		http.NotFound(w, r)
+		return
+	}
+	out := json.NewEncoder(w)
+	if r.URL.Query().Get("watch") == "" {
+		list, _ := d.after(0)
+		out.Encode(list[0])
+		return
+	}
+	seq, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	tick := time.NewTicker(keepAlive)
+	defer tick.Stop()
+	for {
+		news, changed := d.after(seq)
+		for _, l := range news {
+			out.Encode(l)
+			seq = l.Seq
+		}
+		if len(news) == 0 {
+			w.Write([]byte("\n"))
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-changed:
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/grpcnode/grpcnode.go
@@ -0,0 +1,161 @@
+// Package grpcnode puts the stand-in nodes on gRPC. The service takes and gives well-known messages only
+// (google.protobuf.StringValue), so that it needs no generated code: /booking.v1.Booking/Do is unary, and
+// /booking.v1.Booking/Follow streams as many messages as its request has letters.
+package grpcnode
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/orca"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"hazelwing/internal/standin"
+)
+
+// Names of the service.
+const (
+	Service = "booking.v1.Booking"
+	Do      = "/" + Service + "/Do"
+	Follow  = "/" + Service + "/Follow"
+)
+
+// NotRun is the trailer that turns a call away unseen.
+const NotRun = "x-not-run"
+
+// FollowDesc describes the stream.
+var FollowDesc = grpc.StreamDesc{StreamName: "Follow", ServerStreams: true}
+
+// server is a node's.
+type server struct {
+	node    *standin.Node
+	effects map[string]standin.Effect
+	srv     *grpc.Server
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// New makes the server of a node. It serves grpc.health.v1 too, and tells by ORCA what the node holds ("queue").
+func New(n *standin.Node, effects map[string]standin.Effect) standin.Server {
+	s := &server{node: n, effects: effects}
+	s.srv = grpc.NewServer(orca.CallMetricsServerOption(nil), grpc.UnaryInterceptor(s.probe))
+	s.srv.RegisterService(&grpc.ServiceDesc{ServiceName: Service, HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{{MethodName: "Do", Handler: s.do}},
+		Streams: []grpc.StreamDesc{{StreamName: "Follow", ServerStreams: true, Handler: s.follow}}}, s)
+	healthpb.RegisterHealthServer(s.srv, health.NewServer())
+	return s
+}
+
+// keeping is a listener that remembers its connections: the death of a process resets them.
+type keeping struct {
+	net.Listener
+	s *server
+}
+
+func (k keeping) Accept() (net.Conn, error) {
+	c, err := k.Listener.Accept()
+	if err == nil {
+		k.s.mu.Lock()
+		k.s.conns = append(k.s.conns, c)
+		k.s.mu.Unlock()
+	}
+	return c, err
+}
+
+func (s *server) Serve(l net.Listener) error { return s.srv.Serve(keeping{l, s}) }
+
+func (s *server) Stop() {
+	s.mu.Lock()
+	for _, c := range s.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+			tcp.Close()
+		}
+	}
+	s.mu.Unlock()
+	s.srv.Stop()
+}
+
+// probe tells the load with the answers of grpc.health.v1 too.
+func (s *server) probe(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	s.report(ctx)
+	return handler(ctx, req)
+}
+
+func (s *server) report(ctx context.Context) {
+	if r := orca.CallMetricsRecorderFromContext(ctx); r != nil {
+		held := float64(s.node.Held())
+		r.SetNamedMetric("queue", held)
+		// What weighted_round_robin reads: requests a second over utilisation.
+		r.SetApplicationUtilization(min(1, max(0.01, held/4)))
+		r.SetQPS(max(1, s.node.Rate()))
+	}
+}
+
+func first(md metadata.MD, name string) string {
+	if v := md.Get(name); len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
+// job runs one on the node, and says why it was not done.
+func (s *server) job(ctx context.Context) error {
+	md, _ := metadata.FromIncomingContext(ctx)
+	j := standin.Job{ID: first(md, standin.IDName), Class: first(md, standin.ClassName), Key: first(md, standin.KeyName),
+		Work: standin.WorkOf(first(md, standin.ExtrasName))}
+	effect, known := s.effects[j.Class]
+	if j.ID == "" || !known {
+		return status.Error(codes.InvalidArgument, "no such request")
+	}
+	j.Effect = effect
+	reply := s.node.Do(ctx, j)
+	s.report(ctx)
+	switch reply {
+	case standin.Full, standin.Drained:
+		grpc.SetTrailer(ctx, metadata.Pairs(NotRun, "1"))
+		return status.Error(codes.Unavailable, "turned away")
+	case standin.Lost:
+		<-ctx.Done() // the connection is about to be reset: no answer goes out
+		return status.Error(codes.Unavailable, "dying")
+	case standin.Over:
+		return status.FromContextError(ctx.Err()).Err()
+	}
+	return nil
+}
+
+func (s *server) do(_ any, ctx context.Context, dec func(any) error, interceptor grpc.UnaryServerInterceptor) (any, error) {
+	in := new(wrapperspb.StringValue)
+	if err := dec(in); err != nil {
+		return nil, err
+	}
+	if err := s.job(ctx); err != nil {
+		return nil, err
+	}
+	return wrapperspb.String(in.Value + " by " + s.node.Name), nil
+}
+
+func (s *server) follow(_ any, stream grpc.ServerStream) error {
+	in := new(wrapperspb.StringValue)
+	if err := stream.RecvMsg(in); err != nil {
+		return err
+	}
+	for letter := range strings.SplitSeq(in.Value, "") {
+		if err := s.job(stream.Context()); err != nil {
+			return err
+		}
+		if err := stream.SendMsg(wrapperspb.String(letter)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Server puts a node on a listener, in some protocol. Stop ends it as the death of a process does: open connections
+// are reset.
+type Server interface {
+	Serve(l net.Listener) error
+	Stop()
+}
+
+// Names of headers and metadata that stand-ins read.
+const (
+	IDName     = "x-request-id"
+	KeyName    = "idempotency-key"
+	ClassName  = "x-class"
+	ExtrasName = "x-extras" // holds work=MICROSECONDS
+)
+
+// WorkOf reads the work that a request brings along in its extras.
+func WorkOf(extras string) time.Duration {
+	for field := range strings.SplitSeq(extras, ",") {
+		if text, ok := strings.CutPrefix(field, "work="); ok {
+			if us, err := strconv.ParseFloat(text, 64); err == nil && us >= 0 && us < 1e9 {
+				return time.Duration(us * float64(time.Microsecond))
+			}
+		}
+	}
+	return 0
+}
+
+// HTTP serves a node as the platform's protocol says: HTTP/1.1, the load report at /metrics/load.
+type HTTP struct {
+	node    *Node
+	effects map[string]Effect
+	srv     *http.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// NewHTTP makes the server; effects are those of the classes.
+func NewHTTP(n *Node, effects map[string]Effect) *HTTP {
+	h := &HTTP{node: n, effects: effects, conns: map[net.Conn]bool{}}
+	h.srv = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnState: func(c net.Conn, s http.ConnState) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		switch s {
+		case http.StateNew:
+			h.conns[c] = true
+		case http.StateClosed, http.StateHijacked:
+			delete(h.conns, c)
+		}
+	}}
+	return h
+}
+
+// Serve serves until Stop.
+func (h *HTTP) Serve(l net.Listener) error { return h.srv.Serve(l) }
+
+// Stop resets all connections.
+func (h *HTTP) Stop() {
+	h.mu.Lock()
+	for c := range h.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	}
+	h.mu.Unlock()
+	h.srv.Close()
+}
+
+func (h *HTTP) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/metrics/load" {
+		fmt.Fprintf(w, "queue=%d", h.node.Held())
+		return
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	id := r.Header.Get(IDName)
+	effect, known := h.effects[class]
+	if id == "" || !known {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	j := Job{ID: id, Class: class, Effect: effect, Key: r.Header.Get(KeyName), Work: WorkOf(r.Header.Get(ExtrasName))}
+	switch h.node.Do(r.Context(), j) {
+	case Done:
+		fmt.Fprintf(w, "%s by %s", id, h.node.Name)
+	case Full, Drained:
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Lost, Over:
+		panic(http.ErrAbortHandler) // the connection breaks
+	}
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,299 @@
+// Package standin holds the stand-ins that the project's tests, measurements and demonstration run against: booking
+// nodes with one core each, a discovery, faults by script, recorded traffic and clients that replay it. They are
+// written from the public descriptions of what they stand for, and use nothing of the program that they test.
+//
+// A Fleet puts them together and keeps the count of what the rules are about: executions by request, what was sent to
+// a node after its drain was told, and what was sent to a cold one. Everything is on loopback, in real time, and
+// seeded: what chance decides is the same in each run, what the machine's scheduler decides is not.
+package standin
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+// Effect says what a second execution of a request would do.
+type Effect int
+
+// The three effects.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+// Job is a request as it reaches a node.
+type Job struct {
+	ID     string // of the request; all attempts of one call carry the same
+	Class  string
+	Effect Effect
+	Key    string // of a keyed one
+	Work   time.Duration
+}
+
+// Reply says what a node made of a job.
+type Reply int
+
+// The replies.
+const (
+	Done    Reply = iota
+	Full          // turned away unseen: the waiting room is full
+	Drained       // turned away unseen: the node drains
+	Lost          // the node died: no answer goes out
+	Over          // the client has left
+)
+
+// NodeConfig is a node's machine.
+type NodeConfig struct {
+	Name, Zone, Kind string
+	Cell             int
+	Speed            float64       // of its core; a job takes Work / Speed
+	Queue            int           // jobs that may wait; 0: 64
+	ColdFrom         float64       // share of its speed that it starts with, where Warm is set
+	Warm             time.Duration // until it has all of it
+	FallMultiple     float64       // times its present speed that pushes a cold one over, in FallTime; 0: nothing does
+	FallTime         time.Duration
+	DrainGrace       time.Duration // after its drain was told; what comes later breaks a rule
+}
+
+// Node is one booking node: a queue and one core, which works on one job at a time. Its methods may be called from any
+// goroutine.
+type Node struct {
+	NodeConfig
+	ledger *Ledger
+	born   time.Time // of its process; zero: long ago
+	since  time.Time // when this object was made
+
+	mu      sync.Mutex
+	slow    float64       // its core is so many times slower
+	paused  time.Time     // it stands still until then
+	told    time.Time     // when its drain was told; zero: it does not drain
+	fallen  bool          // pushed over while cold
+	dead    chan struct{} // closed when it dies
+	waiting int           // jobs that wait or run
+	served  int
+	got     []arrival // while cold
+	core    chan struct{}
+}
+
+type arrival struct {
+	at   time.Time
+	work time.Duration
+}
+
+// NewNode starts a node; born is when its process started, zero for long ago. ledger is the fleet's.
+func NewNode(c NodeConfig, born time.Time, ledger *Ledger) *Node {
+	if c.Queue == 0 {
+		c.Queue = 64
+	}
+	n := &Node{NodeConfig: c, ledger: ledger, born: born, since: time.Now(), slow: 1, dead: make(chan struct{}), core: make(chan struct{}, 1)}
+	n.core <- struct{}{}
+	return n
+}
+
+// step is how often a job looks at what has become of its node and its client.
+const step = 2 * time.Millisecond
+
+// Do takes a job and returns when it is done, or will not be.
+func (n *Node) Do(ctx context.Context, j Job) Reply {
+	now := time.Now()
+	n.mu.Lock()
+	n.ledger.arrived(n, now, n.told)
+	switch {
+	case n.isDead():
+		n.mu.Unlock()
+		return Lost
+	case !n.told.IsZero():
+		n.mu.Unlock()
+		return Drained
+	case n.waiting >= n.Queue:
+		n.mu.Unlock()
+		return Full
+	}
+	n.waiting++
+	n.chill(now, j.Work)
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		n.waiting--
+		n.mu.Unlock()
+	}()
+	select { // runtime hands the core on in order of waiting
+	case <-n.core:
+	case <-ctx.Done():
+		return Over
+	case <-n.dead:
+		return Lost
+	}
+	defer func() { n.core <- struct{}{} }()
+	if j.Effect == Keyed && n.ledger.remembers(n.Zone, j.Key, now) {
+		return Done // the first one's answer, again
+	}
+	n.ledger.executed(j, n.Zone, time.Now())
+	return n.work(ctx, j.Work)
+}
+
+// work spends d of the core's time at speed 1.
+func (n *Node) work(ctx context.Context, d time.Duration) Reply {
+	timer := time.NewTimer(step)
+	defer timer.Stop()
+	left := d.Seconds()
+	for last := time.Now(); ; {
+		n.mu.Lock()
+		speed := n.speed(last)
+		n.mu.Unlock()
+		wait := step
+		if speed > 0 {
+			wait = min(step, max(time.Duration(left/speed*float64(time.Second)), 50*time.Microsecond))
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return Over // work stops when its request is cancelled
+		case <-n.dead:
+			return Lost
+		case <-timer.C:
+		}
+		now := time.Now()
+		if left -= now.Sub(last).Seconds() * speed; left <= 0 {
+			n.mu.Lock()
+			n.served++
+			n.mu.Unlock()
+			return Done
+		}
+		last = now
+	}
+}
+
+// speed is what the core does at a time. The lock is held.
+func (n *Node) speed(now time.Time) float64 {
+	if now.Before(n.paused) {
+		return 0
+	}
+	return n.Speed / n.slow * n.warmth(now)
+}
+
+// warmth is the share of its speed that a node has that started a while ago.
+func (n *Node) warmth(now time.Time) float64 {
+	if n.born.IsZero() || n.Warm == 0 {
+		return 1
+	}
+	return min(1, n.ColdFrom+(1-n.ColdFrom)*now.Sub(n.born).Seconds()/n.Warm.Seconds())
+}
+
+// chill counts what is sent to a cold node, and pushes it over where that is too much. The lock is held.
+func (n *Node) chill(now time.Time, work time.Duration) {
+	w := n.warmth(now)
+	if w >= 1 || n.FallMultiple == 0 {
+		n.got = nil
+		return
+	}
+	n.got = append(n.got, arrival{now, work})
+	for len(n.got) > 0 && now.Sub(n.got[0].at) > n.FallTime {
+		n.got = n.got[1:]
+	}
+	var sum time.Duration
+	for _, a := range n.got {
+		sum += a.work
+	}
+	if sum.Seconds() > n.FallMultiple*n.Speed*w*n.FallTime.Seconds() {
+		n.fallen = true
+		n.die()
+	}
+}
+
+func (n *Node) isDead() bool {
+	select {
+	case <-n.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *Node) die() {
+	if !n.isDead() {
+		close(n.dead)
+	}
+}
+
+// Slow makes the core so many times slower.
+func (n *Node) Slow(times float64) {
+	n.mu.Lock()
+	n.slow = math.Max(times, 1)
+	n.mu.Unlock()
+}
+
+// Pause makes the core stand still for a while.
+func (n *Node) Pause(d time.Duration) {
+	n.mu.Lock()
+	n.paused = time.Now().Add(d)
+	n.mu.Unlock()
+}
+
+// Drain makes it turn new jobs away; what comes more than its grace after now breaks a rule.
+func (n *Node) Drain() {
+	n.mu.Lock()
+	if n.told.IsZero() {
+		n.told = time.Now()
+	}
+	n.mu.Unlock()
+}
+
+// Die ends the process: what it holds is lost.
+func (n *Node) Die() {
+	n.mu.Lock()
+	n.die()
+	n.mu.Unlock()
+}
+
+// Dead is closed when the process has ended.
+func (n *Node) Dead() <-chan struct{} { return n.dead }
+
+// Held is how many jobs wait or run.
+func (n *Node) Held() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.waiting
+}
+
+const pushedOver = "pushed over"
+
+// Status is what a node is doing.
+type Status struct {
+	Name, Zone, State string
+	Held, Served      int
+	Warmth            float64
+}
+
+// Status returns it.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	s := Status{Name: n.Name, Zone: n.Zone, State: "serving", Held: n.waiting, Served: n.served, Warmth: n.warmth(now)}
+	switch {
+	case n.fallen:
+		s.State = pushedOver
+	case n.isDead():
+		s.State = "dead"
+	case !n.told.IsZero():
+		s.State = "draining"
+	case now.Before(n.paused):
+		s.State = "paused"
+	case n.slow > 1:
+		s.State = "slow"
+	case s.Warmth < 1:
+		s.State = "cold"
+	}
+	return s
+}
+
+// Rate is how many jobs it has served a second, over its life.
+func (n *Node) Rate() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(n.served) / max(time.Since(n.since).Seconds(), 0.1)
+}
--- /dev/null
+++ b/internal/standin/replay.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind says how a request ended for its client.
+type Kind int
+
+// The kinds.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+	Unanswered // no final answer in the client's time
+)
+
+// Do carries out one request as a client; n tells it from all others, and ctx ends with the client's patience.
+type Do func(ctx context.Context, n int, c TrafficClass, r Request) Kind
+
+// Report is what became of recorded traffic.
+type Report struct {
+	Asked, Served, InTime, Refused, Failed, Unanswered int
+
+	Service        float64       // worth answered in time, or late at a share, over the worth asked for
+	P50, P99, P999 time.Duration // of all requests, whatever their end
+
+	mu        sync.Mutex
+	worth     float64
+	won       float64
+	latencies []time.Duration
+}
+
+// maxOpen bounds the requests that a replay has open; more wait, and are late.
+const maxOpen = 4096
+
+// Replay plays traffic at its own pace, whatever the answers do, and returns when all have come. Worth counts by unit
+// of work, as booking sites do.
+func Replay(ctx context.Context, t *Traffic, do Do) *Report {
+	r := &Report{}
+	classes := map[string]TrafficClass{}
+	for _, c := range t.Classes {
+		classes[c.Name] = c
+	}
+	begun := time.Now()
+	places := make(chan struct{}, maxOpen)
+	var all sync.WaitGroup
+	for n, q := range t.Requests {
+		select {
+		case <-time.After(time.Until(begun.Add(q.At()))):
+		case <-ctx.Done():
+			all.Wait()
+			return r.close()
+		}
+		places <- struct{}{}
+		all.Go(func() {
+			defer func() { <-places }()
+			r.one(ctx, n, classes[q.Class], q, begun.Add(q.At()), do)
+		})
+	}
+	all.Wait()
+	return r.close()
+}
+
+func (r *Report) one(ctx context.Context, n int, c TrafficClass, q Request, came time.Time, do Do) {
+	patience := time.Duration(c.DeadlineMS * float64(time.Millisecond))
+	ctx, cancel := context.WithDeadline(ctx, came.Add(patience))
+	defer cancel()
+	kind := do(ctx, n, c, q)
+	took := time.Since(came)
+	worth := c.Worth * q.WorkUS
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Asked++
+	r.worth += worth
+	r.latencies = append(r.latencies, took)
+	switch kind {
+	case Served:
+		r.Served++
+		if took.Seconds()*1000 <= c.AimMS {
+			r.InTime++
+			r.won += worth
+		} else if took <= patience {
+			r.won += worth * c.LateShare
+		}
+	case Refused:
+		r.Refused++
+	case Failed:
+		r.Failed++
+	case Unanswered:
+		r.Unanswered++
+	}
+}
+
+// Live is how it stands at the moment: service, the median and p99 so far.
+func (r *Report) close() *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.Sort(r.latencies)
+	r.Service = r.won / cmp.Or(r.worth, 1)
+	r.P50, r.P99, r.P999 = r.at(0.5), r.at(0.99), r.at(0.999)
+	return r
+}
+
+func (r *Report) at(share float64) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	return r.latencies[min(len(r.latencies)-1, int(math.Ceil(share*float64(len(r.latencies))))-1)]
+}
+
+func (r *Report) String() string {
+	return fmt.Sprintf("service %.4f, %d asked: %d served (%d in time), %d refused, %d failed, %d unanswered; p50 %v, p99 %v, p99.9 %v",
+		r.Service, r.Asked, r.Served, r.InTime, r.Refused, r.Failed, r.Unanswered,
+		r.P50.Round(100*time.Microsecond), r.P99.Round(100*time.Microsecond), r.P999.Round(100*time.Microsecond))
+}
--- /dev/null
+++ b/internal/transport/grpc/gate.go
@@ -0,0 +1,98 @@
+package grpc
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+)
+
+// gate lets one stream of an exchange through, and no other. grpc-go asks the call's credentials for each stream that
+// it is about to open, and tags each with its statistics handler; both are public interfaces of its own.
+//
+//   - Its transparent retry cannot be switched off (WithDisableRetry leaves it on): it opens another stream for the
+//     same call where it knows that the first was not processed. The second tag tells, the second question is denied.
+//   - A stream that has been let through may wait for room on the connection (SETTINGS_MAX_CONCURRENT_STREAMS). It is
+//     on the wire when its headers were counted out, not before.
+type gate struct {
+	next  credentials.PerRPCCredentials // the call's own; may be nil
+	allow func() bool                   // asked once, right before the headers go
+	stop  context.CancelFunc            // ends the call
+
+	mu        sync.Mutex
+	passed    bool // the one stream was let through
+	forbidden bool
+
+	streams atomic.Int32 // that grpc-go has begun to open
+	wrote   atomic.Bool  // the headers are on the connection
+	late    atomic.Bool  // a stream did not begin in time
+	trailed atomic.Bool  // the server has ended the stream itself, with a status
+}
+
+var errDenied = status.Error(codes.Unavailable, "hazelwing: this attempt may not be written")
+
+// GetRequestMetadata is asked by grpc-go in the call's goroutine.
+func (g *gate) GetRequestMetadata(ctx context.Context, uri ...string) (map[string]string, error) {
+	g.mu.Lock()
+	ok := !g.forbidden && !g.passed && ctx.Err() == nil && g.allow()
+	g.passed = g.passed || ok
+	g.mu.Unlock()
+	if !ok {
+		return nil, errDenied
+	}
+	if g.next == nil {
+		return nil, nil
+	}
+	return g.next.GetRequestMetadata(ctx, uri...)
+}
+
+// RequireTransportSecurity says what the call's own credentials do.
+func (g *gate) RequireTransportSecurity() bool {
+	return g.next != nil && g.next.RequireTransportSecurity()
+}
+
+// forbid closes the gate, and ends the call unless its headers are on the connection.
+func (g *gate) forbid() {
+	g.mu.Lock()
+	g.forbidden = true
+	g.mu.Unlock()
+	if !g.wrote.Load() {
+		g.stop()
+	}
+}
+
+// refused says that grpc-go knows the one stream not to have been processed: it went on to open another.
+func (g *gate) refused() bool { return g.streams.Load() > 1 }
+
+type gateKey struct{}
+
+// observer tells a call's gate what grpc-go does. It has no state of its own.
+type observer struct{}
+
+// TagRPC is called for each stream before it is opened.
+func (observer) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
+	if g, ok := ctx.Value(gateKey{}).(*gate); ok && g.streams.Add(1) > 1 {
+		g.stop() // guards against waiting for another connection only to be denied there
+	}
+	return ctx
+}
+
+func (observer) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	switch s.(type) {
+	case *stats.OutHeader:
+		if g, ok := ctx.Value(gateKey{}).(*gate); ok {
+			g.wrote.Store(true)
+		}
+	case *stats.InTrailer:
+		if g, ok := ctx.Value(gateKey{}).(*gate); ok {
+			g.trailed.Store(true)
+		}
+	}
+}
+
+func (observer) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (observer) HandleConn(context.Context, stats.ConnStats)                       {}
--- /dev/null
+++ b/rpc/hazelgrpc/rig_test.go
@@ -0,0 +1,117 @@
+package hazelgrpc
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+	"hazelwing/internal/standin/grpcnode"
+	"hazelwing/internal/standin/rawh2"
+)
+
+const (
+	look   = "/booking.v1.Booking/Look"
+	book   = "/booking.v1.Booking/Book"
+	pay    = "/booking.v1.Booking/Pay"
+	follow = "/booking.v1.Booking/Follow"
+)
+
+// testConfig is one class of each kind; nothing in it comes due within a test.
+func testConfig(members Members) Config {
+	class := func(name string, e balancer.Effect) balancer.Class {
+		return balancer.Class{Name: name, Aim: fixture.Patience, Deadline: fixture.Patience, Effect: e, LateShare: 0.5,
+			Window: fixture.Patience, Stream: name == "follow"}
+	}
+	return Config{Members: members, Seed: 1, Dial: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
+		Settings: balancer.Settings{Zone: "a", MaxAttempts: 3, SecondCopies: true, Cancelling: true, RetryAfter: true,
+			MaxRetryAfter: 1500 * time.Millisecond, ConnectTimeout: 5 * time.Second,
+			Classes: []balancer.Class{class("look", balancer.Safe), class("book", balancer.Unsafe), class("pay", balancer.Keyed), class("follow", balancer.Safe)}},
+		Methods: map[string]Method{look: {Class: "look"}, book: {Class: "book"}, pay: {Class: "pay"}, follow: {Class: "follow"}}}
+}
+
+func start(t testing.TB, cfg Config) *Plugin {
+	t.Helper()
+	p, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Close() })
+	return p
+}
+
+// raw starts a server that answers frame by frame, and counts what reaches it whole in came.
+func raw(t testing.TB, serve func(*rawh2.Stream), opts ...rawh2.Option) string {
+	t.Helper()
+	s, err := rawh2.New(serve, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Addr()
+}
+
+// ask makes a unary call.
+func ask(p grpc.ClientConnInterface, ctx context.Context, method, text string, opts ...grpc.CallOption) (string, error) {
+	var out wrapperspb.StringValue
+	err := p.Invoke(ctx, method, wrapperspb.String(text), &out, opts...)
+	return out.Value, err
+}
+
+// bookingClasses are the settings' classes of recorded traffic.
+func bookingClasses(t *standin.Traffic) (list []balancer.Class) {
+	for _, c := range t.Classes {
+		list = append(list, balancer.Class{Name: c.Name, Aim: time.Duration(c.AimMS * float64(time.Millisecond)),
+			Deadline: time.Duration(c.DeadlineMS * float64(time.Millisecond)), Worth: c.Worth, LateShare: c.LateShare,
+			Effect: map[string]balancer.Effect{"safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe}[c.Effect],
+			Group:  balancer.GroupZone, Window: 6 * time.Second})
+	}
+	return list
+}
+
+// bookingSettings are those of the stand-in fleet's clients.
+func bookingSettings(t *standin.Traffic) balancer.Settings {
+	return balancer.Settings{Balancers: 1, Zone: "a", Tick: time.Millisecond, MaxAttempts: 5, SecondCopies: true, Cancelling: true,
+		RetryAfter: true, MaxRetryAfter: 200 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond, WorthByWork: true,
+		ColdFrom: 0.3, WarmUp: 4 * time.Second, FallMultiple: 3, FallTime: 2 * time.Second, Classes: bookingClasses(t)}
+}
+
+func grpcFleet(t testing.TB, nodes []standin.NodeConfig, traffic *standin.Traffic) *standin.Fleet {
+	t.Helper()
+	f, err := standin.NewFleet(standin.FleetConfig{Nodes: nodes, Effects: traffic.Effects(), NewServer: grpcnode.New})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// outgoing is the metadata of a recorded request.
+func outgoing(ctx context.Context, id string, c standin.TrafficClass, r standin.Request) context.Context {
+	md := metadata.Pairs(idKey, id, classKey, c.Name, hintKey, ftoa(r.HintUS), standin.ExtrasName, "work="+ftoa(r.WorkUS))
+	if c.Effect == "keyed" {
+		md.Set(idempotencyKey, "k"+id)
+	}
+	return metadata.NewOutgoingContext(ctx, md)
+}
+
+// kindOf says how a call ended for its client.
+func kindOf(err error) standin.Kind {
+	if err == nil {
+		return standin.Served
+	}
+	if _, ok := RefusedFor(err); ok {
+		return standin.Refused
+	}
+	return standin.Failed
+}
+
+var discardLog = slog.New(slog.DiscardHandler)
