--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,176 @@
+// Package demo shows the daemon at work: a stand-in fleet, its discovery, the daemon and clients in one process on
+// loopback, while one node slows, one drains and one crashes.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"hazelwing/internal/daemon"
+	"hazelwing/internal/platform"
+	"hazelwing/internal/standin"
+)
+
+// Options say what is played.
+type Options struct {
+	Seed    uint64
+	Rate    float64       // requests a second
+	Length  time.Duration // of the traffic, where none is given
+	Nodes   int
+	Traffic *standin.Traffic // nil: generated from Seed
+	Script  []standin.Fault  // nil: DefaultScript
+	Live    bool             // the view is redrawn in place; else a line is printed a second
+}
+
+// DefaultScript is what happens where no script is given.
+const DefaultScript = `
+2s   slow     n1   8 3s   # eight times slower
+5s   drain    n3          # told to discovery, then gone
+7s   crash    n4          # discovery learns of it a second later
+9s   restart  n4          # a new process, cold
+`
+
+const (
+	redraw = 250 * time.Millisecond
+	// linger is for what the last request's attempts still do after its answer.
+	linger = 300 * time.Millisecond
+)
+
+// ErrRule is returned when a rule broke.
+var ErrRule = errors.New("a rule broke")
+
+// Run plays it, writes the view and a summary to out, and returns ErrRule when a rule broke.
+func Run(ctx context.Context, o Options, out io.Writer) error {
+	traffic, script := o.Traffic, o.Script
+	if traffic == nil {
+		traffic = standin.Generate(o.Seed, o.Rate, o.Length)
+	}
+	if script == nil {
+		var err error
+		if script, err = standin.ReadScript(strings.NewReader(DefaultScript)); err != nil {
+			return err
+		}
+	}
+	fleet, err := standin.NewFleet(standin.FleetConfig{Nodes: standin.MixedNodes(o.Nodes), Effects: traffic.Effects()})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	for _, f := range script {
+		if fleet.Node(f.Node) == nil {
+			return fmt.Errorf("fault script: no node %q among %d", f.Node, o.Nodes)
+		}
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	view := newView(out, o.Live, fleet, traffic)
+	addr, ended, err := startDaemon(ctx, traffic, fleet.Discovery.Addr(), o.Seed, view)
+	if err != nil {
+		return err
+	}
+	do, closeIdle := standin.HTTPClient(addr, fleet.Ledger)
+	defer closeIdle()
+	played := make(chan error, 1)
+	go func() { played <- fleet.Play(ctx, script) }()
+	drawn := make(chan struct{})
+	drawing, enough := context.WithCancel(ctx)
+	go func() {
+		defer close(drawn)
+		view.run(drawing)
+	}()
+	report := standin.Replay(ctx, traffic, func(ctx context.Context, n int, c standin.TrafficClass, r standin.Request) standin.Kind {
+		begun := time.Now()
+		kind := do(ctx, n, c, r)
+		view.note(c, kind, time.Since(begun))
+		return kind
+	})
+	time.Sleep(linger)
+	enough()
+	<-drawn
+	view.close(report)
+	stop()
+	closeIdle()
+	if err := <-played; err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	if err := <-ended; err != nil {
+		return fmt.Errorf("the daemon: %w", err)
+	}
+	return verdict(out, report, fleet.Ledger.Broken())
+}
+
+// verdict says what the rules say of it.
+func verdict(out io.Writer, r *standin.Report, broken []string) error {
+	if r.Unanswered > 0 {
+		broken = append(broken, fmt.Sprintf("%d requests got no final answer in their client's time", r.Unanswered))
+	}
+	for _, b := range broken {
+		fmt.Fprintln(out, "rule broken:", b)
+	}
+	if len(broken) > 0 {
+		return ErrRule
+	}
+	fmt.Fprintln(out, "all rules kept: one final answer each, no effect twice, drains kept, no cold node pushed over")
+	return nil
+}
+
+// startDaemon runs the daemon in this process until ctx ends, from a configuration as the platform writes it.
+func startDaemon(ctx context.Context, t *standin.Traffic, discovery string, seed uint64, log io.Writer) (addr string, ended chan error, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port: the daemon listens by itself
+	if err != nil {
+		return "", nil, err
+	}
+	addr = l.Addr().String()
+	l.Close()
+	text, err := standin.Platform(t, addr, discovery, fmt.Sprintf("%x", seed))
+	if err != nil {
+		return "", nil, err
+	}
+	dir, err := os.MkdirTemp("", "hazelwing-demo")
+	if err != nil {
+		return "", nil, err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return "", nil, err
+	}
+	cfg, err := platform.Load(func(name string) string {
+		if name == "RELAY_CONFIG" {
+			return path
+		}
+		return ""
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	ended = make(chan error, 1)
+	go func() { ended <- daemon.Run(ctx, cfg, nil, nil, slog.New(slog.NewTextHandler(log, nil))) }()
+	return addr, ended, ready(ctx, addr)
+}
+
+// ready waits until the daemon listens.
+func ready(ctx context.Context, addr string) error {
+	const most = 10 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			return c.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the daemon does not listen: %w", err)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
