--- /dev/null
+++ b/cmd/hazelwing/command_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func execute(args ...string) (string, error) {
+	c := root()
+	var out bytes.Buffer
+	c.SetOut(&out)
+	c.SetArgs(args)
+	err := c.Execute()
+	return out.String(), err
+}
+
+// Without arguments the program is the daemon, as with run: the platform starts it so.
+func TestDaemonIsTheDefault(t *testing.T) {
+	t.Setenv("RELAY_CONFIG", t.TempDir()+"/absent.json")
+	for _, args := range [][]string{{}, {"run"}} {
+		if _, err := execute(args...); err == nil || !strings.Contains(err.Error(), "absent.json") {
+			t.Errorf("%q: %v", args, err)
+		}
+	}
+	if _, err := execute("nothing"); err == nil || !strings.Contains(err.Error(), "nothing") {
+		t.Errorf("an unknown command: %v", err)
+	}
+}
+
+func TestHelpListsTheCommands(t *testing.T) {
+	out, err := execute("help")
+	for _, want := range []string{"run", "demo", "traffic"} {
+		if err != nil || !strings.Contains(out, "\n  "+want+" ") {
+			t.Errorf("%q is missing from:\n%s", want, out)
+		}
+	}
+}
+
+// Generated traffic is the same again, is not written over what is there, and a file that cannot be used is named with
+// its line.
+func TestTrafficCommand(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "t.jsonl")
+	if _, err := execute("traffic", path, "--length", "1s"); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := execute("traffic", "--check", path); err != nil || !strings.Contains(out, "of 4 classes") {
+		t.Errorf("%s, %v", out, err)
+	}
+	before, _ := os.ReadFile(path)
+	if _, err := execute("traffic", path, "--length", "2s"); err == nil {
+		t.Error("a file was written over")
+	}
+	if after, _ := os.ReadFile(path); !bytes.Equal(before, after) {
+		t.Error("the file has changed")
+	}
+	if err := os.WriteFile(path, append(before, "half"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := execute("traffic", "--check", path); err == nil || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "line ") {
+		t.Errorf("%v", err)
+	}
+	for _, args := range [][]string{{"demo", "--rate", "0"}, {"demo", "--nodes", "0"}, {"demo", "--length", "1h"}, {"demo", "--traffic", path},
+		{"demo", "--script", path}, {"traffic", path + "2", "--rate", "-1"}} {
+		if _, err := execute(args...); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want one line", args, err)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 
 	"hazelwing/internal/engine"
 	"hazelwing/internal/front/httpfront"
@@ -51,9 +52,11 @@
 		return err
 	}
 	work, end := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { s.pool.Sweep(work) })
+	parts.Go(func() { s.engine.Run(work) })
+	parts.Go(func() { s.reloads(work, reload, again) })
+	defer parts.Wait()
 	defer end()
-	go s.pool.Sweep(work)
-	go s.engine.Run(work)
-	go s.reloads(work, reload, again)
 	return s.front.Serve(ctx, listener, cfg.Limits.ClientConns(), log)
 }
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -56,7 +56,7 @@
 	Kind     Kind
 	Answer   any           // Served, Begun; Failed: the last answer that an attempt brought, or nil
 	RetryIn  time.Duration // Refused: when to try again, 0: no advice
-	TimedOut bool          // Failed: an attempt ran out of time
+	TimedOut bool          // Failed: an attempt ran out of time, or is still out
 	Attempts int           // that were started
 	Err      error         // Refused, Failed: why the last attempt ended so, where that is known; Left: the context's
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -360,7 +360,7 @@
 		}
 	case balancer.Fail:
 		if c := e.calls[a.ID]; c != nil {
-			e.result(c, Result{Kind: Failed, TimedOut: c.timedOut, Answer: c.lastAns, Err: c.last})
+			e.result(c, Result{Kind: Failed, TimedOut: c.timedOut || c.out > 0, Answer: c.lastAns, Err: c.last})
 			e.forget(c)
 		}
 	case balancer.SetTimer:
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -48,7 +48,7 @@
 	for i := range n {
 		k := kinds[i%len(kinds)]
 		list = append(list, NodeConfig{Name: fmt.Sprintf("n%d", i+1), Zone: string(rune('a' + i%4)), Kind: k.kind, Speed: k.speed,
-			ColdFrom: 0.3, Warm: 4 * time.Second, FallMultiple: 3, FallTime: 2 * time.Second, DrainGrace: 250 * time.Millisecond})
+			Seed: uint64(i + 1), ColdFrom: 0.3, Warm: 4 * time.Second, FallMultiple: 3, FallTime: 2 * time.Second, DrainGrace: 250 * time.Millisecond})
 	}
 	return list
 }
@@ -178,6 +178,9 @@
 	case "slow":
 		r.Slow(x.Times)
 		f.after(x.For, func() { r.Slow(1) })
+	case "reset":
+		r.Break(x.Times)
+		f.after(x.For, func() { r.Break(0) })
 	case "pause":
 		r.Pause(x.For)
 	case "drain":
--- a/internal/standin/grpcnode/grpcnode.go
+++ b/internal/standin/grpcnode/grpcnode.go
@@ -15,6 +15,7 @@
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/orca"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
@@ -47,7 +48,7 @@
 // New makes the server of a node. It serves grpc.health.v1 too, and tells by ORCA what the node holds ("queue").
 func New(n *standin.Node, effects map[string]standin.Effect) standin.Server {
 	s := &server{node: n, effects: effects}
-	s.srv = grpc.NewServer(orca.CallMetricsServerOption(nil), grpc.UnaryInterceptor(s.probe))
+	s.srv = grpc.NewServer(orca.CallMetricsServerOption(nil), grpc.ChainUnaryInterceptor(s.probe))
 	s.srv.RegisterService(&grpc.ServiceDesc{ServiceName: Service, HandlerType: (*any)(nil),
 		Methods: []grpc.MethodDesc{{MethodName: "Do", Handler: s.do}},
 		Streams: []grpc.StreamDesc{{StreamName: "Follow", ServerStreams: true, Handler: s.follow}}}, s)
@@ -85,9 +86,25 @@
 	s.srv.Stop()
 }
 
+// cut resets the connection that a call came on, with all that is on it.
+func (s *server) cut(ctx context.Context) {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if tcp, is := c.(*net.TCPConn); is && c.RemoteAddr().String() == p.Addr.String() {
+			tcp.SetLinger(0)
+			tcp.Close()
+		}
+	}
+}
+
 // probe tells the load with the answers of grpc.health.v1 too.
 func (s *server) probe(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-	s.report(ctx)
+	defer s.report(ctx)
 	return handler(ctx, req)
 }
 
@@ -118,15 +135,16 @@
 		return status.Error(codes.InvalidArgument, "no such request")
 	}
 	j.Effect = effect
-	reply := s.node.Do(ctx, j)
-	s.report(ctx)
-	switch reply {
+	switch s.node.Do(ctx, j) {
 	case standin.Full, standin.Drained:
 		grpc.SetTrailer(ctx, metadata.Pairs(NotRun, "1"))
 		return status.Error(codes.Unavailable, "turned away")
 	case standin.Lost:
 		<-ctx.Done() // the connection is about to be reset: no answer goes out
 		return status.Error(codes.Unavailable, "dying")
+	case standin.Broken:
+		s.cut(ctx)
+		return status.Error(codes.Unavailable, "the connection breaks")
 	case standin.Over:
 		return status.FromContextError(ctx.Err()).Err()
 	}
@@ -138,10 +156,13 @@
 	if err := dec(in); err != nil {
 		return nil, err
 	}
-	if err := s.job(ctx); err != nil {
-		return nil, err
+	run := func(ctx context.Context, _ any) (any, error) {
+		if err := s.job(ctx); err != nil {
+			return nil, err
+		}
+		return wrapperspb.String(in.Value + " by " + s.node.Name), nil
 	}
-	return wrapperspb.String(in.Value + " by " + s.node.Name), nil
+	return interceptor(ctx, in, &grpc.UnaryServerInfo{Server: s, FullMethod: Do}, run) // ORCA's, and ours
 }
 
 func (s *server) follow(_ any, stream grpc.ServerStream) error {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -101,7 +101,7 @@
 	case Full, Drained:
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case Lost, Over:
+	case Lost, Over, Broken:
 		panic(http.ErrAbortHandler) // the connection breaks
 	}
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -43,6 +44,7 @@
 	Drained       // turned away unseen: the node drains
 	Lost          // the node died: no answer goes out
 	Over          // the client has left
+	Broken        // it ran, and its connection breaks before the answer
 )
 
 // NodeConfig is a node's machine.
@@ -56,6 +58,7 @@
 	FallMultiple     float64       // times its present speed that pushes a cold one over, in FallTime; 0: nothing does
 	FallTime         time.Duration
 	DrainGrace       time.Duration // after its drain was told; what comes later breaks a rule
+	Seed             uint64        // of what chance decides
 }
 
 // Node is one booking node: a queue and one core, which works on one job at a time. Its methods may be called from any
@@ -67,8 +70,10 @@
 	since  time.Time // when this object was made
 
 	mu      sync.Mutex
-	slow    float64       // its core is so many times slower
-	paused  time.Time     // it stands still until then
+	slow    float64   // its core is so many times slower
+	paused  time.Time // it stands still until then
+	breaks  float64   // share of the jobs that end as Broken
+	rng     *rand.Rand
 	told    time.Time     // when its drain was told; zero: it does not drain
 	fallen  bool          // pushed over while cold
 	dead    chan struct{} // closed when it dies
@@ -88,7 +93,8 @@
 	if c.Queue == 0 {
 		c.Queue = 64
 	}
-	n := &Node{NodeConfig: c, ledger: ledger, born: born, since: time.Now(), slow: 1, dead: make(chan struct{}), core: make(chan struct{}, 1)}
+	n := &Node{NodeConfig: c, ledger: ledger, born: born, since: time.Now(), slow: 1,
+		rng: rand.New(rand.NewPCG(c.Seed, 0x6e6f6465)), dead: make(chan struct{}), core: make(chan struct{}, 1)}
 	n.core <- struct{}{}
 	return n
 }
@@ -159,8 +165,11 @@
 		now := time.Now()
 		if left -= now.Sub(last).Seconds() * speed; left <= 0 {
 			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.breaks > 0 && n.rng.Float64() < n.breaks {
+				return Broken
+			}
 			n.served++
-			n.mu.Unlock()
 			return Done
 		}
 		last = now
@@ -226,6 +235,13 @@
 	n.mu.Unlock()
 }
 
+// Break makes a share of the jobs end with a connection that breaks after they ran.
+func (n *Node) Break(share float64) {
+	n.mu.Lock()
+	n.breaks = share
+	n.mu.Unlock()
+}
+
 // Pause makes the core stand still for a while.
 func (n *Node) Pause(d time.Duration) {
 	n.mu.Lock()
@@ -285,6 +301,8 @@
 		s.State = "paused"
 	case n.slow > 1:
 		s.State = "slow"
+	case n.breaks > 0:
+		s.State = "resetting"
 	case s.Warmth < 1:
 		s.State = "cold"
 	}
--- a/internal/standin/rawh2/rawh2.go
+++ b/internal/standin/rawh2/rawh2.go
@@ -19,7 +19,6 @@
 	l     net.Listener
 	serve func(s *Stream)
 	limit uint32
-	deaf  bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -32,10 +31,6 @@
 // MaxStreams is what the server allows at a time on a connection.
 func MaxStreams(n uint32) Option { return func(s *Server) { s.limit = n } }
 
-// Deaf makes it read nothing after the connection is up, once a stream's headers are here: what the client writes
-// stays in its own buffers.
-func Deaf() Option { return func(s *Server) { s.deaf = true } }
-
 // New starts one on loopback.
 func New(serve func(*Stream), opts ...Option) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -83,15 +78,14 @@
 	if _, err := io.ReadFull(c, preface); err != nil {
 		return
 	}
-	f := http2.NewFramer(c, c)
+	w := &writer{Framer: http2.NewFramer(c, c), c: c}
+	f := w.Framer // reads are this goroutine's alone
 	f.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
 	var settings []http2.Setting
 	if s.limit > 0 {
 		settings = append(settings, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: s.limit})
 	}
-	if f.WriteSettings(settings...) != nil {
-		return
-	}
+	w.write(func() { f.WriteSettings(settings...) })
 	streams := map[uint32]*Stream{}
 	for {
 		frame, err := f.ReadFrame()
@@ -101,14 +95,14 @@
 		switch v := frame.(type) {
 		case *http2.SettingsFrame:
 			if !v.IsAck() {
-				f.WriteSettingsAck()
+				w.write(func() { f.WriteSettingsAck() })
 			}
 		case *http2.PingFrame:
 			if !v.IsAck() {
-				f.WritePing(true, v.Data)
+				w.write(func() { f.WritePing(true, v.Data) })
 			}
 		case *http2.MetaHeadersFrame:
-			st := &Stream{ID: v.StreamID, f: f, c: c, Path: v.PseudoValue("path")}
+			st := &Stream{ID: v.StreamID, w: w, Path: v.PseudoValue("path")}
 			for _, h := range v.RegularFields() {
 				if h.Name == "x-request-id" {
 					st.RequestID = h.Value
@@ -116,9 +110,6 @@
 			}
 			streams[st.ID] = st
 			s.serve(st)
-			if s.deaf {
-				select {} // never reached twice: the goroutine ends with the test's process
-			}
 		case *http2.DataFrame:
 			if st := streams[v.StreamID]; st != nil {
 				st.Data = append(st.Data, v.Data()...)
@@ -137,24 +128,38 @@
 	Data      []byte // of its DATA frames so far
 	Whole     bool   // its last one has come
 
-	f *http2.Framer
-	c net.Conn
+	w *writer
+}
+
+// writer lets any goroutine write frames: the connection's own answers pings while tests answer streams.
+type writer struct {
+	*http2.Framer
+	c  net.Conn
+	mu sync.Mutex
+}
+
+func (w *writer) write(do func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	do()
 }
 
 // Refuse resets the stream with REFUSED_STREAM: none of it was processed.
-func (s *Stream) Refuse() { s.f.WriteRSTStream(s.ID, http2.ErrCodeRefusedStream) }
+func (s *Stream) Refuse() { s.reset(http2.ErrCodeRefusedStream) }
 
 // Reset resets it with INTERNAL_ERROR: that says nothing.
-func (s *Stream) Reset() { s.f.WriteRSTStream(s.ID, http2.ErrCodeInternal) }
+func (s *Stream) Reset() { s.reset(http2.ErrCodeInternal) }
+
+func (s *Stream) reset(code http2.ErrCode) { s.w.write(func() { s.w.WriteRSTStream(s.ID, code) }) }
 
 // GoAway says that no stream from this one on was or will be processed, and closes the connection.
 func (s *Stream) GoAway() {
-	s.f.WriteGoAway(s.ID-1, http2.ErrCodeNo, nil)
-	s.c.Close()
+	s.w.write(func() { s.w.WriteGoAway(s.ID-1, http2.ErrCodeNo, nil) })
+	s.w.c.Close()
 }
 
 // Break ends the connection without a word.
-func (s *Stream) Break() { s.c.Close() }
+func (s *Stream) Break() { s.w.c.Close() }
 
 // Header begins the answer.
 func (s *Stream) Header() {
@@ -165,7 +170,7 @@
 func (s *Stream) Message(data []byte) {
 	head := make([]byte, 5, 5+len(data))
 	binary.BigEndian.PutUint32(head[1:], uint32(len(data)))
-	s.f.WriteData(s.ID, false, append(head, data...))
+	s.w.write(func() { s.w.WriteData(s.ID, false, append(head, data...)) })
 }
 
 // End sends the trailers; more are pairs of names and values.
@@ -191,5 +196,7 @@
 	for i := 0; i < len(pairs); i += 2 {
 		enc.WriteField(hpack.HeaderField{Name: pairs[i], Value: pairs[i+1]})
 	}
-	s.f.WriteHeaders(http2.HeadersFrameParam{StreamID: s.ID, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: end})
+	s.w.write(func() {
+		s.w.WriteHeaders(http2.HeadersFrameParam{StreamID: s.ID, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: end})
+	})
 }
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -13,10 +13,10 @@
 // Fault is one line of a fault script.
 type Fault struct {
 	At    time.Duration
-	Verb  string // slow, pause, drain, crash, restart, fall
+	Verb  string // slow, pause, reset, drain, crash, restart
 	Node  string
-	Times float64       // slow: so many times slower
-	For   time.Duration // slow: until it ends; pause: how long
+	Times float64       // slow: so many times slower; reset: share of the answers
+	For   time.Duration // slow, reset: until it ends; pause: how long
 }
 
 // ReadScript reads a fault script, a line a fault:
@@ -24,6 +24,7 @@
 //	# at  what     node  how
 //	2s    slow     n1    8 3s     # 8 times slower, for 3 s
 //	3s    pause    n2    400ms    # stands still
+//	3s    reset    n5    0.2 2s   # two in ten of its answers break, after the request ran, for 2 s
 //	4s    drain    n3             # told to discovery, and gone once it holds nothing
 //	5s    crash    n4             # resets its connections; discovery learns of it a second later
 //	6s    restart  n4             # a new process under the same name, cold
@@ -56,7 +57,7 @@
 		return f, fmt.Errorf("%q is no time", w[0])
 	}
 	f.Verb, f.Node = w[1], w[2]
-	args, ok := map[string]int{"slow": 2, "pause": 1, "drain": 0, "crash": 0, "restart": 0}[f.Verb]
+	args, ok := map[string]int{"slow": 2, "reset": 2, "pause": 1, "drain": 0, "crash": 0, "restart": 0}[f.Verb]
 	if !ok {
 		return f, fmt.Errorf("%q is no fault", f.Verb)
 	}
@@ -68,6 +69,11 @@
 			return f, fmt.Errorf("%q is no factor of 1 or more", w[3])
 		}
 	}
+	if f.Verb == "reset" {
+		if f.Times, err = strconv.ParseFloat(w[3], 64); err != nil || !(f.Times > 0) || f.Times > 1 {
+			return f, fmt.Errorf("%q is no share above 0 and up to 1", w[3])
+		}
+	}
 	if args > 0 {
 		if f.For, err = time.ParseDuration(w[len(w)-1]); err != nil || f.For <= 0 {
 			return f, fmt.Errorf("%q is no time", w[len(w)-1])
--- a/internal/transport/grpc/exchange.go
+++ b/internal/transport/grpc/exchange.go
@@ -112,11 +112,7 @@
 	cc, err := x.t.connect(x.ctx, x.to)
 	switch {
 	case err != nil:
-		x.gate.forbid()
-		o = engine.Outcome{Result: balancer.ConnectFailed, Err: err}
-		if x.ctx.Err() == context.Canceled && !x.gate.late.Load() {
-			o.Result = balancer.Moot
-		}
+		o = engine.Outcome{Result: unwritten(x.ctx, x.gate), Err: err}
 	case x.probe:
 		o = x.check(cc)
 	case x.req.Stream != nil:
--- a/internal/transport/grpc/gate.go
+++ b/internal/transport/grpc/gate.go
@@ -26,6 +26,7 @@
 	mu        sync.Mutex
 	passed    bool // the one stream was let through
 	forbidden bool
+	denied    bool // the one stream was not let through
 
 	streams atomic.Int32 // that grpc-go has begun to open
 	wrote   atomic.Bool  // the headers are on the connection
@@ -39,6 +40,7 @@
 func (g *gate) GetRequestMetadata(ctx context.Context, uri ...string) (map[string]string, error) {
 	g.mu.Lock()
 	ok := !g.forbidden && !g.passed && ctx.Err() == nil && g.allow()
+	g.denied = g.denied || !ok && !g.passed
 	g.passed = g.passed || ok
 	g.mu.Unlock()
 	if !ok {
--- a/internal/transport/grpc/outcome.go
+++ b/internal/transport/grpc/outcome.go
@@ -64,8 +64,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.forbidden || !g.passed && ctx.Err() == nil, // not the member's fault
-		ctx.Err() == context.Canceled && !g.late.Load():
+	case g.denied, ctx.Err() == context.Canceled && !g.late.Load(): // not the member's fault
 		return balancer.Moot
 	}
 	return balancer.ConnectFailed
--- a/internal/transport/grpc/transport.go
+++ b/internal/transport/grpc/transport.go
@@ -180,9 +180,12 @@
 func (t *Transport) conn(m *member) (*grpc.ClientConn, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m.cc != nil {
+	if m.cc != nil && m.cc.GetState() != connectivity.TransientFailure {
 		return m.cc, nil
 	}
+	// One that failed stays in that state until it is up again, whatever it tries meanwhile: nobody could tell how this
+	// try goes.
+	t.disconnect(m)
 	opts := append(append([]grpc.DialOption(nil), t.cfg.Dial...),
 		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithStatsHandler(observer{}),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: t.cfg.Connect,
@@ -201,33 +204,20 @@
 	if err != nil {
 		return nil, err
 	}
-	state := cc.GetState()
-	if state == connectivity.Ready {
-		return cc, nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, t.cfg.Connect)
 	defer cancel()
-	if state == connectivity.TransientFailure {
-		cc.ResetConnectBackoff()
-	}
-	for tried := false; ; state = cc.GetState() {
+	for {
+		state := cc.GetState()
 		switch state {
 		case connectivity.Ready:
 			return cc, nil
 		case connectivity.Idle:
 			cc.Connect()
-		case connectivity.Connecting:
-			tried = true
-		case connectivity.TransientFailure:
-			if tried {
-				return nil, errNotUp
-			}
-		case connectivity.Shutdown:
+		case connectivity.TransientFailure, connectivity.Shutdown:
 			return nil, errNotUp
 		}
 		if !cc.WaitForStateChange(ctx, state) {
 			return nil, ctx.Err()
 		}
-		tried = tried || state == connectivity.TransientFailure // it may be back there already
 	}
 }
--- /dev/null
+++ b/internal/transport/grpc/transport_test.go
@@ -0,0 +1,260 @@
+package grpc
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	orcapb "github.com/cncf/xds/go/xds/data/orca/v3"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/proto"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+	"hazelwing/internal/standin/grpcnode"
+	"hazelwing/internal/standin/rawh2"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newTransport(t *testing.T, grace time.Duration) *Transport {
+	t.Helper()
+	tr := New(Config{Connect: 5 * time.Second, Grace: grace, LoadNames: []string{"queue", "inflight"},
+		Dial: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
+	t.Cleanup(tr.Shut)
+	return tr
+}
+
+func listed(addr string, state balancer.State) []engine.Member {
+	return []engine.Member{{ID: "s", Addr: addr, State: state}}
+}
+
+func call(ctx context.Context) *engine.Call {
+	return &engine.Call{ID: "1", Payload: &Request{Context: ctx, Method: grpcnode.Do, Codec: "proto", Message: []byte("\n\x01x")}}
+}
+
+func server(t *testing.T, serve func(*rawh2.Stream), opts ...rawh2.Option) string {
+	t.Helper()
+	s, err := rawh2.New(serve, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Addr()
+}
+
+func run(x engine.Exchange) chan engine.Outcome {
+	done := make(chan engine.Outcome, 1)
+	go func() { done <- x.Run(nil) }()
+	return done
+}
+
+// A stream that waits for room on the connection has been handed to grpc-go, and would be written whenever some comes.
+// Guards against its going out after the member's grace: it ends then, and never ran.
+func TestDrainWhileWaitingForRoom(t *testing.T) {
+	var first atomic.Pointer[rawh2.Stream]
+	var came atomic.Int32
+	addr := server(t, func(s *rawh2.Stream) {
+		if s.Whole && came.Add(1) == 1 {
+			first.Store(s)
+		}
+	}, rawh2.MaxStreams(1))
+	tr := newTransport(t, 100*time.Millisecond)
+	tr.Update(true, listed(addr, balancer.Active), time.Now())
+	one := tr.Attempt("s", call(t.Context()), fixture.Patience)
+	oneDone := run(one)
+	fixture.Until(t, "the first attempt", func() bool { return first.Load() != nil })
+	other := tr.Attempt("s", call(t.Context()), fixture.Patience)
+	otherDone := run(other)
+	g := other.(*exchange).gate
+	fixture.Until(t, "the second to be let through", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.passed
+	})
+	tr.Update(false, listed(addr, balancer.Leaving), time.Now())
+	if o := fixture.Receive(t, otherDone, "the second's end"); o.Result.MayHaveRun() {
+		t.Errorf("result %d (%v)", o.Result, o.Err)
+	}
+	if first.Load().OK(nil); fixture.Receive(t, oneDone, "the first's answer").Result != balancer.OK {
+		t.Error("what was out before the drain was not served")
+	}
+	if came.Load() != 1 {
+		t.Errorf("%d attempts reached a member that drains", came.Load())
+	}
+}
+
+// A dial that comes up late is not written to: neither after the call's result, nor after the member's grace, nor to
+// another process.
+func TestLateConnectionIsNotWritten(t *testing.T) {
+	for name, c := range map[string]func(tr *Transport, x engine.Exchange, addr string){
+		"answered":  func(_ *Transport, x engine.Exchange, _ string) { x.Forbid() },
+		"cancelled": func(_ *Transport, x engine.Exchange, _ string) { x.Cancel() },
+		"drained": func(tr *Transport, _ engine.Exchange, addr string) {
+			tr.Update(false, listed(addr, balancer.Leaving), time.Now().Add(-time.Second))
+		},
+		"gone": func(tr *Transport, _ engine.Exchange, _ string) { tr.Update(true, nil, time.Now().Add(-time.Second)) },
+		"another process": func(tr *Transport, _ engine.Exchange, addr string) {
+			tr.Update(false, []engine.Member{{ID: "s", Addr: addr, BornMS: 5}}, time.Now().Add(-time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var came atomic.Int32
+			addr := server(t, func(*rawh2.Stream) { came.Add(1) })
+			tr := newTransport(t, 100*time.Millisecond)
+			tr.Update(true, listed(addr, balancer.Active), time.Now())
+			x := tr.Attempt("s", call(t.Context()), fixture.Patience)
+			c(tr, x, addr)
+			if o := fixture.Receive(t, run(x), "the outcome"); o.Result != balancer.Moot {
+				t.Errorf("result %d (%v)", o.Result, o.Err)
+			}
+			if came.Load() != 0 {
+				t.Error("something was written")
+			}
+		})
+	}
+}
+
+// Nothing is sent to who is not known, and the connections of who left are closed when what was out has ended.
+func TestConnectionsFollowTheList(t *testing.T) {
+	held := make(chan *rawh2.Stream, 1)
+	addr := server(t, func(s *rawh2.Stream) {
+		if s.Whole {
+			held <- s
+		}
+	})
+	tr := newTransport(t, time.Hour)
+	if tr.Attempt("s", call(t.Context()), time.Second) != nil {
+		t.Error("an attempt to nobody")
+	}
+	tr.Update(true, listed(addr, balancer.Active), time.Now())
+	done := run(tr.Attempt("s", call(t.Context()), fixture.Patience))
+	s := fixture.Receive(t, held, "the attempt")
+	m := tr.members["s"]
+	tr.Update(true, nil, time.Now())
+	if m.cc == nil {
+		t.Fatal("a connection with an attempt out was closed")
+	}
+	s.OK([]byte("\n\x01x"))
+	if o := fixture.Receive(t, done, "the outcome"); o.Result != balancer.OK {
+		t.Errorf("result %d (%v)", o.Result, o.Err)
+	}
+	tr.mu.Lock()
+	if m.cc != nil {
+		t.Error("the connection of one that left stays")
+	}
+	tr.mu.Unlock()
+	// It comes back: a new connection is made. Close takes one that has nothing out.
+	tr.Update(true, listed(addr, balancer.Active), time.Now())
+	done = run(tr.Attempt("s", call(t.Context()), fixture.Patience))
+	fixture.Receive(t, held, "another attempt").OK(nil)
+	fixture.Receive(t, done, "the outcome")
+	if tr.Close("s"); tr.members["s"].cc != nil {
+		t.Error("an idle connection was not closed")
+	}
+}
+
+// A member that refuses connections is known at once not to have run anything, also a second time: grpc-go would wait
+// for its own back-off.
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	tr := newTransport(t, time.Second)
+	tr.Update(true, listed(addr, balancer.Active), time.Now())
+	for i := range 3 {
+		o := fixture.Receive(t, run(tr.Attempt("s", call(t.Context()), fixture.Patience)), "the outcome")
+		if o.Result != balancer.ConnectFailed || o.Elapsed > 4*time.Second {
+			t.Errorf("attempt %d: result %d (%v) after %v", i, o.Result, o.Err, o.Elapsed)
+		}
+	}
+	if l, err = net.Listen("tcp", addr); err != nil {
+		t.Skip("another process has the address by now")
+	}
+	n := standin.NewNode(standin.NodeConfig{Name: "n", Speed: 1}, time.Time{}, standin.NewLedger())
+	srv := grpcnode.New(n, map[string]standin.Effect{"c": standin.Safe})
+	go srv.Serve(l)
+	defer srv.Stop()
+	ctx := metadata.AppendToOutgoingContext(t.Context(), "x-request-id", "1", "x-class", "c")
+	if o := fixture.Receive(t, run(tr.Attempt("s", call(ctx), fixture.Patience)), "the outcome"); o.Result != balancer.OK {
+		t.Errorf("once it listens: result %d (%v)", o.Result, o.Err)
+	}
+}
+
+// A probe asks grpc.health.v1, and brings what the member says that it holds.
+func TestProbe(t *testing.T) {
+	n := standin.NewNode(standin.NodeConfig{Name: "n", Speed: 1}, time.Time{}, standin.NewLedger())
+	n.Pause(time.Hour)
+	defer n.Die()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := grpcnode.New(n, nil)
+	go srv.Serve(l)
+	defer srv.Stop()
+	for range 3 {
+		go n.Do(t.Context(), standin.Job{ID: "x", Work: time.Hour})
+	}
+	fixture.Until(t, "the jobs", func() bool { return n.Held() == 3 })
+	tr := newTransport(t, time.Second)
+	tr.Update(true, listed(l.Addr().String(), balancer.Active), time.Now())
+	o := fixture.Receive(t, run(tr.Probe("s", fixture.Patience)), "the probe")
+	if o.Result != balancer.OK || o.Load != (balancer.Load{Told: true, Held: 3}) {
+		t.Errorf("%+v", o)
+	}
+}
+
+// A server without grpc.health.v1 says nothing, and a member that does not serve is not taken to.
+func TestProbeOfOthers(t *testing.T) {
+	for status, want := range map[string]balancer.Result{"12": balancer.Moot, "14": balancer.ServerError} {
+		addr := server(t, func(s *rawh2.Stream) {
+			if s.Whole {
+				s.Only(status)
+			}
+		})
+		tr := newTransport(t, time.Second)
+		tr.Update(true, listed(addr, balancer.Active), time.Now())
+		if o := fixture.Receive(t, run(tr.Probe("s", fixture.Patience)), "the probe"); o.Result != want || o.Load.Told {
+			t.Errorf("status %s: %+v", status, o)
+		}
+	}
+}
+
+func TestLoadReport(t *testing.T) {
+	tr := newTransport(t, time.Second)
+	report := func(named map[string]float64) string {
+		b, err := proto.Marshal(&orcapb.OrcaLoadReport{NamedMetrics: named})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
+	for _, c := range []struct {
+		values []string
+		want   balancer.Load
+	}{
+		{[]string{report(map[string]float64{"queue": 3, "inflight": 5, "other": 9})}, balancer.Load{Told: true, Held: 5}},
+		{[]string{report(map[string]float64{"queue": 0})}, balancer.Load{Told: true}},
+		{[]string{report(map[string]float64{"other": 9})}, balancer.Load{}},
+		{[]string{report(map[string]float64{"queue": -1})}, balancer.Load{}},
+		{[]string{report(map[string]float64{"queue": 1e300})}, balancer.Load{}},
+		{[]string{"\xff\xff"}, balancer.Load{}},
+		{[]string{report(map[string]float64{"queue": 3}), report(map[string]float64{"queue": 4})}, balancer.Load{}},
+		{nil, balancer.Load{}},
+	} {
+		if got := tr.load(metadata.MD{orcaTrailer: c.values}); got != c.want {
+			t.Errorf("%q: %+v, want %+v", c.values, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/rpc/hazelgrpc/bench_test.go
@@ -0,0 +1,57 @@
+package hazelgrpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"hazelwing/balancer"
+)
+
+// BenchmarkInvoke is what a call costs: plain grpc-go, with and without a deadline, beside the plug-in, against a
+// server that answers at once.
+//
+//	go test ./rpc/hazelgrpc -run '^$' -bench Invoke -benchmem -count 6
+func BenchmarkInvoke(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := grpc.NewServer()
+	echo := func(_ any, _ context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		in := new(wrapperspb.StringValue)
+		return in, dec(in)
+	}
+	srv.RegisterService(&grpc.ServiceDesc{ServiceName: "booking.v1.Booking", HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{{MethodName: "Look", Handler: echo}}}, struct{}{})
+	go srv.Serve(l)
+	defer srv.Stop()
+	plain, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer plain.Close()
+	cfg := testConfig(Static(Member{Addr: l.Addr().String(), Zone: "a"}))
+	cfg.Settings.Classes[0] = balancer.Class{Name: "look", Aim: time.Second, Deadline: time.Minute}
+	p := start(b, cfg)
+	for _, c := range []struct {
+		name string
+		cc   grpc.ClientConnInterface
+	}{{"plain", plain}, {"plugin", p}} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			ctx := metadata.AppendToOutgoingContext(b.Context(), "x-request-id", "r")
+			for b.Loop() {
+				if _, err := ask(c.cc, ctx, look, "seat"); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/rpc/hazelgrpc/compare_test.go
+++ b/rpc/hazelgrpc/compare_test.go
@@ -47,6 +47,7 @@
 	{"slow", "2s slow n1 8 4s\n5s slow n6 5 4s"},
 	{"pauses", pausesDay()},
 	{"deploy", "1s drain n1\n2500ms restart n1\n2500ms drain n2\n4s restart n2\n4s drain n4\n5500ms restart n4\n5500ms drain n6\n7s restart n6"},
+	{"resets", "2s reset n1 0.2 4s\n4s reset n6 0.1 4s"},
 	{"crash", "3s crash n4\n6s restart n4\n7s crash n6"},
 }
 
@@ -278,7 +279,7 @@
 // measurement, whose verdict does not depend on how fast the machine is.
 func TestRulesHoldInBoth(t *testing.T) {
 	traffic := standin.Generate(5, 60, 3*time.Second)
-	const script = "300ms slow n1 8 1s\n500ms drain n3\n800ms crash n4\n1s pause n2 300ms\n1300ms restart n4\n1600ms drain n5\n2s crash n6"
+	const script = "300ms slow n1 8 1s\n500ms drain n3\n800ms crash n4\n1s pause n2 300ms\n1s reset n1 0.3 1s\n1300ms restart n4\n1600ms drain n5\n2s crash n6"
 	for _, c := range contestants[:2] {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/rpc/hazelgrpc/example_test.go
@@ -0,0 +1,84 @@
+package hazelgrpc_test
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/grpcnode"
+	"hazelwing/rpc/hazelgrpc"
+)
+
+// fleet is two booking nodes on loopback, in place of the reader's own.
+func fleet() *standin.Fleet {
+	f, err := standin.NewFleet(standin.FleetConfig{NewServer: grpcnode.New, Effects: map[string]standin.Effect{"confirm": standin.Unsafe},
+		Nodes: []standin.NodeConfig{{Name: "n1", Zone: "a", Speed: 1}, {Name: "n2", Zone: "a", Speed: 1}}})
+	if err != nil {
+		log.Fatal(err)
+	}
+	return f
+}
+
+func config(f *standin.Fleet) hazelgrpc.Config {
+	return hazelgrpc.Config{
+		Settings: balancer.Settings{
+			Zone: "a", MaxAttempts: 3, Cancelling: true, ConnectTimeout: time.Second,
+			Classes: []balancer.Class{{Name: "confirm", Effect: balancer.Unsafe, Aim: 10 * time.Second, Deadline: 20 * time.Second}},
+		},
+		Methods: map[string]hazelgrpc.Method{"/booking.v1.Booking/": {Class: "confirm"}},
+		Members: hazelgrpc.Watch(f.Discovery.Addr()),
+		Dial:    []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
+	}
+}
+
+// A Plugin is a grpc.ClientConnInterface: generated clients take it in place of a *grpc.ClientConn.
+func ExampleNew() {
+	f := fleet()
+	defer f.Close()
+	p, err := hazelgrpc.New(config(f))
+	if err != nil {
+		log.Fatal(err)
+	}
+	defer p.Close()
+
+	ctx := metadata.AppendToOutgoingContext(context.Background(), "x-request-id", "r1", "x-class", "confirm")
+	var reply wrapperspb.StringValue
+	if err := p.Invoke(ctx, grpcnode.Do, wrapperspb.String("seat 12"), &reply); err != nil {
+		if wait, ok := hazelgrpc.RefusedFor(err); ok {
+			fmt.Println("not done; come back in", wait)
+		}
+		log.Fatal(err)
+	}
+	fmt.Println(reply.Value[:len("seat 12 by n")])
+	// Output: seat 12 by n
+}
+
+// Where a *grpc.ClientConn is wanted, with interceptors of the application's own, DialOptions make one.
+func ExamplePlugin_DialOptions() {
+	f := fleet()
+	defer f.Close()
+	p, err := hazelgrpc.New(config(f))
+	if err != nil {
+		log.Fatal(err)
+	}
+	defer p.Close()
+	conn, err := grpc.NewClient("passthrough:///booking", p.DialOptions()...)
+	if err != nil {
+		log.Fatal(err)
+	}
+	defer conn.Close()
+
+	ctx := metadata.AppendToOutgoingContext(context.Background(), "x-request-id", "r1", "x-class", "confirm")
+	var reply wrapperspb.StringValue
+	err = conn.Invoke(ctx, grpcnode.Do, wrapperspb.String("seat 12"), &reply)
+	fmt.Println(err)
+	// Output: <nil>
+}
--- /dev/null
+++ b/rpc/hazelgrpc/members_test.go
@@ -0,0 +1,75 @@
+package hazelgrpc
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/resolver"
+	"google.golang.org/grpc/resolver/manual"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+	"hazelwing/internal/standin/rawh2"
+)
+
+// Members come from one of gRPC's resolvers, with what it knows of them, and follow it.
+func TestResolver(t *testing.T) {
+	answering := func(name string) string {
+		return raw(t, func(s *rawh2.Stream) {
+			if s.Whole {
+				s.OK(append([]byte{'\n', byte(len(name))}, name...))
+			}
+		})
+	}
+	one, other := answering("one"), answering("other")
+	b := manual.NewBuilderWithScheme("fleet")
+	b.InitialState(resolver.State{Addresses: []resolver.Address{{Addr: one}}})
+	p := start(t, testConfig(Resolver("fleet:///booking", b)))
+	if text, err := ask(p, t.Context(), book, "seat"); err != nil || text != "one" {
+		t.Fatalf("%q, %v", text, err)
+	}
+	b.UpdateState(resolver.State{Endpoints: []resolver.Endpoint{{Addresses: []resolver.Address{{Addr: other}}}}})
+	fixture.Until(t, "the other member", func() bool {
+		text, err := ask(p, t.Context(), book, "seat")
+		return err == nil && text == "other"
+	})
+	b.UpdateState(resolver.State{}) // an empty list is a fault: the members stay
+	b.CC().ReportError(errors.New("no answer"))
+	if text, err := ask(p, t.Context(), book, "seat"); err != nil || text != "other" {
+		t.Errorf("%q, %v", text, err)
+	}
+}
+
+func TestWhatAResolverKnows(t *testing.T) {
+	born := time.UnixMilli(1_700_000_000_000)
+	news := make(chan engine.News, 1)
+	cc := &resolverConn{ctx: t.Context(), log: discardLog, tell: func(n engine.News) { news <- n }}
+	addr := WithMember(resolver.Address{Addr: "127.0.0.1:2"}, Member{ID: "s", Zone: "a", Kind: "m", Cell: 3, Born: born})
+	if err := cc.UpdateState(resolver.State{Addresses: []resolver.Address{{Addr: "127.0.0.1:1"}, addr}}); err != nil {
+		t.Fatal(err)
+	}
+	n := <-news
+	want := []engine.Member{{ID: "127.0.0.1:1", Addr: "127.0.0.1:1"},
+		{ID: "s", Addr: "127.0.0.1:2", Zone: "a", Kind: "m", Cell: 3, BornMS: 1_700_000_000_000}}
+	if n.Kind != balancer.Full || len(n.Members) != 2 || n.Members[0] != want[0] || n.Members[1] != want[1] {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A drain that discovery tells is kept: what reaches the node later breaks a rule, and the ledger counts it.
+func TestDrainIsKept(t *testing.T) {
+	traffic := standin.Generate(3, 150, 1500*time.Millisecond)
+	f := grpcFleet(t, standin.MixedNodes(3), traffic)
+	p := start(t, Config{Settings: bookingSettings(traffic), Members: Watch(f.Discovery.Addr()), Dial: testConfig(Members{}).Dial, Seed: 3})
+	go func() {
+		time.Sleep(traffic.Length() / 4)
+		f.Fault(standin.Fault{Verb: "drain", Node: "n1"})
+	}()
+	r := standin.Replay(t.Context(), traffic, unary(p, f))
+	if broken := f.Ledger.Broken(); len(broken) > 0 || r.Served == 0 || f.Node("n2").Status().Served == 0 {
+		t.Errorf("%v, %v", r, broken)
+	}
+}
