--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -3,6 +3,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,6 +29,8 @@
 	Traffic *standin.Traffic // nil: generated from Seed
 	Script  []standin.Fault  // nil: DefaultScript
 	Live    bool             // the view is redrawn in place; else a line is printed a second
+	// Grace and Slack are what a busy machine may add to a client's time and to a drain's grace; 0: 250 ms and 50 ms.
+	Grace, Slack time.Duration
 }
 
 // DefaultScript is what happens where no script is given.
@@ -42,6 +45,8 @@
 	redraw = 250 * time.Millisecond
 	// linger is for what the last request's attempts still do after its answer.
 	linger = 300 * time.Millisecond
+	// defaultGrace is for machines that do more than show this.
+	defaultGrace = 250 * time.Millisecond
 )
 
 // ErrRule is returned when a rule broke.
@@ -59,7 +64,7 @@
 			return err
 		}
 	}
-	fleet, err := standin.NewFleet(standin.FleetConfig{Nodes: standin.MixedNodes(o.Nodes), Effects: traffic.Effects()})
+	fleet, err := standin.NewFleet(standin.FleetConfig{Nodes: standin.MixedNodes(o.Nodes), Effects: traffic.Effects(), Slack: o.Slack})
 	if err != nil {
 		return err
 	}
@@ -72,7 +77,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	view := newView(out, o.Live, fleet, traffic)
-	addr, ended, err := startDaemon(ctx, traffic, fleet.Discovery.Addr(), o.Seed, view)
+	addr, ended, err := StartDaemon(ctx, traffic, fleet.Discovery.Addr(), o.Seed, view)
 	if err != nil {
 		return err
 	}
@@ -86,7 +91,7 @@
 		defer close(drawn)
 		view.run(drawing)
 	}()
-	report := standin.Replay(ctx, traffic, func(ctx context.Context, n int, c standin.TrafficClass, r standin.Request) standin.Kind {
+	report := standin.Replay(ctx, traffic, cmp.Or(o.Grace, defaultGrace), func(ctx context.Context, n int, c standin.TrafficClass, r standin.Request) standin.Kind {
 		begun := time.Now()
 		kind := do(ctx, n, c, r)
 		view.note(c, kind, time.Since(begun))
@@ -122,8 +127,9 @@
 	return nil
 }
 
-// startDaemon runs the daemon in this process until ctx ends, from a configuration as the platform writes it.
-func startDaemon(ctx context.Context, t *standin.Traffic, discovery string, seed uint64, log io.Writer) (addr string, ended chan error, err error) {
+// StartDaemon runs the daemon in this process until ctx ends, from a configuration as the platform writes it. It returns
+// once the daemon listens at addr; ended brings how it ended.
+func StartDaemon(ctx context.Context, t *standin.Traffic, discovery string, seed uint64, log io.Writer) (addr string, ended chan error, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port: the daemon listens by itself
 	if err != nil {
 		return "", nil, err
--- a/internal/engine/stall_test.go
+++ b/internal/engine/stall_test.go
@@ -68,6 +68,8 @@
 	e.stalls.last = time.Now().Add(-400 * ms) // it did not run since
 	x.end <- Outcome{Result: balancer.OK, Final: true, Elapsed: 10 * ms}
 	fixture.Until(t, "the outcome", func() bool { return len(e.events) > 0 })
+	e.look()
+	e.stalls.settled = time.Now().Add(fixture.Patience) // however slow this machine is
 	for len(c.reply) == 0 {
 		e.step(nil)
 	}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -14,6 +14,9 @@
 	Effects map[string]Effect
 	// NewServer puts a node on sockets; nil: HTTP.
 	NewServer func(n *Node, effects map[string]Effect) Server
+	// Slack is added to the nodes' DrainGrace; 0: 50 ms. Tests that have to give one verdict on a busy machine, too, take
+	// more.
+	Slack time.Duration
 	// Notice is how long discovery takes to learn that a process died or started; 0: 1 s.
 	Notice time.Duration
 }
@@ -74,6 +77,9 @@
 		return nil, err
 	}
 	f := &Fleet{cfg: c, Discovery: d, Ledger: NewLedger(), nodes: map[string]*running{}, quit: make(chan struct{})}
+	if c.Slack > 0 {
+		f.Ledger.Slack = c.Slack
+	}
 	for _, n := range c.Nodes {
 		r, err := f.start(n, time.Time{})
 		if err != nil {
--- a/rpc/hazelgrpc/call.go
+++ b/rpc/hazelgrpc/call.go
@@ -33,7 +33,7 @@
 
 // Invoke makes a unary call. It is what generated clients call.
 func (p *Plugin) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) (err error) {
-	o := sort(opts)
+	o := split(opts)
 	defer func() { o.finish(err) }()
 	c, err := p.call(ctx, method, args, nil, o)
 	if err != nil {
@@ -135,7 +135,7 @@
 	return otherwise
 }
 
-// options are a call's, sorted: what an attempt may use as it is, and what belongs to the call as a whole. An attempt
+// options are a call's, split: what an attempt may use as it is, and what belongs to the call as a whole. An attempt
 // may not write through the application's pointers: copies of a call run side by side, and one of them counts.
 type options struct {
 	rest     []grpc.CallOption
@@ -149,7 +149,7 @@
 	err      error
 }
 
-func sort(opts []grpc.CallOption) *options {
+func split(opts []grpc.CallOption) *options {
 	o := &options{maxSend: -1}
 	for _, opt := range opts {
 		switch v := opt.(type) {
--- a/rpc/hazelgrpc/stream.go
+++ b/rpc/hazelgrpc/stream.go
@@ -26,7 +26,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, status.FromContextError(err).Err()
 	}
-	return &clientStream{p: p, ctx: ctx, desc: desc, method: method, options: sort(opts), ready: make(chan struct{})}, nil
+	return &clientStream{p: p, ctx: ctx, desc: desc, method: method, options: split(opts), ready: make(chan struct{})}, nil
 }
 
 // clientStream is the application's side of a stream. One goroutine sends, one receives, as with grpc-go.
