Store: a log of segments that keeps what was confirmed, and a file system that fails

Need: what may have run has to survive a restart. The embedded store begins here; nothing uses it yet. Change: internal/store is a segmented, checksummed log with group commit and compaction; internal/standin/faultfs crashes at any step, loses unsynced sectors and names, fills up, and fails writes and syncs.

--- /dev/null
+++ b/internal/store/doc.go
@@ -0,0 +1,35 @@
+// Package store keeps small entries that have to survive a crash: a log of segments with an index in memory.
+//
+// # What is promised
+//
+//   - An entry is confirmed when Put or Delete has returned nil: its record and all before it in its segment were
+//     synced. Recovery never loses a confirmed entry, whatever moment the process or the machine stopped at.
+//   - Recovery never yields an entry that nobody put, nor one of two halves. One whose Put returned an error, or had not
+//     returned, may be there or not.
+//   - After a sync that failed nothing later in that segment counts as durable: the segment is closed at what was
+//     confirmed, and the next batch goes to a new one.
+//   - When the disk is full, Put fails and the store goes on: entries that are there stay, and the next Put tries anew.
+//   - A record that the disk has changed since is found by its checksum, left out and reported; those around it stay.
+//
+// An entry has a time at which it expires; then it is gone, and its place is given back by Compact. The clock is wall
+// time, since it has to mean the same after a restart. A clock that goes back only makes entries live longer.
+//
+// # Format, version 1
+//
+// A directory holds segments, "%016x.log", numbered from 1, and "lock". All numbers are little-endian.
+//
+//	segment: header, then records back to back
+//	header:  magic "hzwlog" 00 01 (8 bytes) | number (8) | crc (4) of the 16 bytes before | 0 (4)
+//	record:  length n of the body (4) | crc (4) | body (n)
+//	body:    kind (1): 1 put, 2 delete | sequence (8) | expires, Unix ms (8) | key length k (2) | key (k) | value (the rest)
+//
+// crc is CRC-32C (Castagnoli). A record's covers its segment's number (8), its offset in the segment (8), n (4) and the
+// body: bytes that were a record somewhere else are none here. The record with the highest sequence counts for a key;
+// Compact copies records with their sequence. A segment's end is its file's, or the first byte from which on nothing is
+// a record.
+//
+// A store never appends to a segment that it found when it was opened: what a crash left at its end stays there, and is
+// no record. Compact takes all segments but the one that is written to, and numbers its own below that one's: a delete
+// that comes while it copies lies in a later segment than the copy, and the old ones are removed in order, each removal
+// made durable before the next, so that no put outlives its delete.
+package store
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,209 @@
+package store_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hazelwing/internal/standin/faultfs"
+	"hazelwing/internal/standin/fixture"
+	"hazelwing/internal/store"
+)
+
+func open(t testing.TB, path string, o store.Options) *store.Store {
+	t.Helper()
+	fs, err := store.Dir(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := store.Open(fs, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// On a real disk: what was put is there after a restart, what expired is not, and a second process is kept out.
+func TestRestart(t *testing.T) {
+	path := t.TempDir()
+	now := epoch
+	o := store.Options{SegmentSize: 4096, Now: func() time.Time { return now }}
+	s := open(t, path, o)
+	for i := range 300 {
+		if err := s.Put(fmt.Sprint("k", i%100), fmt.Append(nil, i), now.Add(time.Duration(i)*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Delete("k7"); err != nil {
+		t.Fatal(err)
+	}
+	fs, _ := store.Dir(path)
+	if _, err := store.Open(fs, o); !errors.Is(err, store.ErrLocked) {
+		t.Errorf("a second one: %v", err)
+	}
+	s.Close()
+	s = open(t, path, o)
+	check := func(when string, first int) {
+		t.Helper()
+		for i := range 100 {
+			value, ok, err := s.Get(fmt.Sprint("k", i))
+			if want := i != 7 && i+200 > first; err != nil || ok != want || ok && string(value) != fmt.Sprint(i+200) {
+				t.Errorf("%s: k%d is %q, %v, %v", when, i, value, ok, err)
+			}
+		}
+	}
+	check("after a restart", 0)
+	before := s.Stats()
+	now = now.Add(250 * time.Second)
+	check("later", 250)
+	if err := s.Compact(); err != nil {
+		t.Fatal(err)
+	}
+	check("compacted", 250)
+	if after := s.Stats(); after.Bytes >= before.Bytes/4 || after.Entries != 49 {
+		t.Errorf("compacted from %+v to %+v", before, after)
+	}
+	s.Close()
+	s = open(t, path, o)
+	check("compacted and restarted", 250)
+	now = epoch // the clock goes back across a restart: what was taken away stays away, the rest lives longer
+	if _, ok, _ := s.Get("k60"); !ok {
+		t.Error("an entry ended early")
+	}
+}
+
+// Writers, readers and compactions at the same time. Many that wait share a sync.
+func TestConcurrent(t *testing.T) {
+	fs := faultfs.New()
+	fs.SyncTime = time.Millisecond
+	s, err := store.Open(fs, store.Options{SegmentSize: 16 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	const writers, each = 32, 40
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	var compactor sync.WaitGroup
+	compactor.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if err := s.Compact(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	for w := range writers {
+		all.Go(func() {
+			for i := range each {
+				key, value := fmt.Sprint("w", w, "-", i%5), fmt.Sprint(i)
+				if err := s.Put(key, []byte(value), time.Now().Add(time.Hour)); err != nil {
+					t.Error(err)
+				}
+				if got, ok, err := s.Get(key); !ok || err != nil || string(got) != value {
+					t.Errorf("%s: %q, %v, %v", key, got, ok, err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	close(stop)
+	compactor.Wait()
+	if st := s.Stats(); st.Entries != writers*5 || st.Syncs > writers*each/2 {
+		t.Errorf("%+v: %d writers should share syncs", st, writers)
+	}
+}
+
+func TestBounds(t *testing.T) {
+	s, err := store.Open(faultfs.New(), store.Options{SegmentSize: 1 << 10, MaxBytes: 4 << 10, Now: func() time.Time { return epoch }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hour := epoch.Add(time.Hour)
+	for name, err := range map[string]error{
+		"no key":     s.Put("", nil, hour),
+		"long key":   s.Put(strings.Repeat("k", store.MaxKey+1), nil, hour),
+		"long value": s.Put("k", make([]byte, store.MaxValue+1), hour),
+		"no delete":  s.Delete(""),
+	} {
+		if !errors.Is(err, store.ErrSize) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	full := false
+	for i := 0; i < 100 && !full; i++ {
+		full = errors.Is(s.Put("k", make([]byte, 300), hour), store.ErrFull)
+	}
+	if st := s.Stats(); !full || st.Bytes > 4<<10 {
+		t.Errorf("full: %v, %+v", full, st)
+	}
+	if err := errors.Join(s.Delete("k"), s.Compact(), s.Put("k", make([]byte, 300), hour)); err != nil {
+		t.Errorf("after a compaction: %v", err)
+	}
+	s.Close()
+	if err := s.Put("k", nil, hour); !errors.Is(err, store.ErrClosed) {
+		t.Errorf("after Close: %v", err)
+	}
+}
+
+// A format that this program does not know is left alone.
+func TestOtherFormat(t *testing.T) {
+	path := t.TempDir()
+	s := open(t, path, store.Options{})
+	if err := s.Put("k", nil, time.Now().Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	name := filepath.Join(path, "0000000000000001.log")
+	b, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[7] = 9 // and its checksum, below
+	copy(b[16:], []byte{0, 0, 0, 0})
+	if err := os.WriteFile(name, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again := open(t, path, store.Options{}) // a header that is no whole one says nothing: the record counts
+	if _, ok, err := again.Get("k"); !ok || err != nil {
+		t.Errorf("%v, %v", ok, err)
+	}
+}
+
+// A slow sync makes writers wait, and no reader.
+func TestSlowSync(t *testing.T) {
+	fs := faultfs.New()
+	s, err := store.Open(fs, store.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	hour := time.Now().Add(time.Hour)
+	if err := s.Put("a", []byte("1"), hour); err != nil {
+		t.Fatal(err)
+	}
+	fs.SyncTime = 300 * time.Millisecond
+	done := make(chan error, 1)
+	begun := time.Now()
+	go func() { done <- s.Put("b", nil, hour) }()
+	reads := 0
+	for len(done) == 0 {
+		if _, ok, err := s.Get("a"); !ok || err != nil {
+			t.Fatal(ok, err)
+		}
+		reads++
+	}
+	if err := fixture.Receive(t, done, "the put"); err != nil || time.Since(begun) < 300*time.Millisecond || reads < 100 {
+		t.Errorf("%v after %v, %d reads meanwhile", err, time.Since(begun), reads)
+	}
+}
