Tests that fail without four guards which none had covered

Each guard of the plug-in, the engine and the store was taken out in turn. Four were not noticed: a drain told before an attempt is asked for, the attempts of a client that leaves, an engine that ends before its exchanges, and the place in a record's checksum. Each has a test now, seen to fail without it.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -28,6 +28,7 @@
 	verdict           chan bool    // what begin said
 	end               chan Outcome // makes Run return
 	cancelled, forbid chan bool
+	hold              chan bool // Run waits for it after Cancel; nil: it does not
 }
 
 type fakeWatch struct {
@@ -67,6 +68,9 @@
 		case o := <-x.end:
 			return o
 		case <-x.cancelled:
+			if x.hold != nil {
+				<-x.hold
+			}
 			return Outcome{Result: balancer.Cancelled}
 		}
 	}
@@ -261,11 +265,18 @@
 	f := newFake()
 	e, stop := start(t, f, 2)
 	sent := do(e, t.Context(), newCall("1", "book"))
-	fixture.Receive(t, f.sent, "the attempt")
+	x := fixture.Receive(t, f.sent, "the attempt")
+	x.hold = make(chan bool)
 	stop()
 	if r := fixture.Receive(t, sent, "the result"); r.Kind != Failed || !errors.Is(r.Err, errClosed) {
 		t.Errorf("what may run got %+v", r)
 	}
+	select {
+	case <-e.closed:
+		t.Error("it has ended with an attempt out")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(x.hold)
 	fixture.Receive(t, e.closed, "the end")
 	if r := e.Do(t.Context(), newCall("2", "book")); r.Kind != Refused {
 		t.Errorf("a call after the end got %+v", r)
--- a/internal/standin/rawh2/rawh2.go
+++ b/internal/standin/rawh2/rawh2.go
@@ -19,6 +19,7 @@
 	l     net.Listener
 	serve func(s *Stream)
 	limit uint32
+	reset func(s *Stream)
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -31,6 +32,9 @@
 // MaxStreams is what the server allows at a time on a connection.
 func MaxStreams(n uint32) Option { return func(s *Server) { s.limit = n } }
 
+// OnReset is called when a client resets a stream, in the goroutine of its connection.
+func OnReset(do func(s *Stream)) Option { return func(s *Server) { s.reset = do } }
+
 // New starts one on loopback.
 func New(serve func(*Stream), opts ...Option) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -110,6 +114,10 @@
 			}
 			streams[st.ID] = st
 			s.serve(st)
+		case *http2.RSTStreamFrame:
+			if st := streams[v.StreamID]; st != nil && s.reset != nil {
+				s.reset(st)
+			}
 		case *http2.DataFrame:
 			if st := streams[v.StreamID]; st != nil {
 				st.Data = append(st.Data, v.Data()...)
--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -188,6 +188,38 @@
 	}
 }
 
+// A value may hold what was a record elsewhere: when the disk spoils the record around it, it must not become one.
+func TestRecordInAValue(t *testing.T) {
+	other := faultfs.New()
+	s, err := store.Open(other, options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := int64(24) // a segment's header
+	if err := s.Put("ghost", []byte("boo"), epoch.Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	names, _ := other.List()
+	ghost := other.Content(names[0])[before:]
+	fs := faultfs.New()
+	if s, err = store.Open(fs, options()); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Put("a", ghost, epoch.Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	fs.Flip(names[0], before, 0) // the record's length
+	if s, err = store.Open(fs, options()); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if value, ok, err := s.Get("ghost"); ok || err != nil {
+		t.Errorf("%q, %v, %v", value, ok, err)
+	}
+}
+
 // Seeded schedules of faults of all kinds, against the model.
 func TestFaultSchedules(t *testing.T) {
 	for seed := range uint64(*schedules) {
--- a/internal/transport/grpc/transport_test.go
+++ b/internal/transport/grpc/transport_test.go
@@ -122,6 +122,19 @@
 	}
 }
 
+// An attempt that is asked for after the news, within the grace, is not written after it either.
+func TestAttemptAfterTheDrain(t *testing.T) {
+	var came atomic.Int32
+	addr := server(t, func(*rawh2.Stream) { came.Add(1) })
+	tr := newTransport(t, 100*time.Millisecond)
+	tr.Update(true, listed(addr, balancer.Active), time.Now())
+	tr.Update(false, listed(addr, balancer.Leaving), time.Now().Add(-time.Second))
+	o := fixture.Receive(t, run(tr.Attempt("s", call(t.Context()), fixture.Patience)), "the outcome")
+	if o.Result != balancer.Moot || came.Load() != 0 {
+		t.Errorf("result %d (%v), %d written", o.Result, o.Err, came.Load())
+	}
+}
+
 // Nothing is sent to who is not known, and the connections of who left are closed when what was out has ended.
 func TestConnectionsFollowTheList(t *testing.T) {
 	held := make(chan *rawh2.Stream, 1)
--- a/rpc/hazelgrpc/hard_test.go
+++ b/rpc/hazelgrpc/hard_test.go
@@ -132,16 +132,20 @@
 // The application leaves while its request is being written: more than the windows let through, to a member that reads
 // nothing. It gets its one result, nothing is sent elsewhere, and the attempt ends.
 func TestCancelWhileWriting(t *testing.T) {
-	headers := make(chan bool, 10)
+	headers, resets := make(chan bool, 10), make(chan bool, 10)
 	var list []Member
 	for range 2 {
 		list = append(list, Member{Zone: "a", Addr: raw(t, func(s *rawh2.Stream) {
 			if len(s.Data) == 0 {
 				headers <- true
 			}
-		})})
+		}, rawh2.OnReset(func(*rawh2.Stream) { resets <- true }))})
+	}
+	cfg := testConfig(Static(list...))
+	for i := range cfg.Settings.Classes { // nothing else ends the attempt within the test
+		cfg.Settings.Classes[i].Deadline = 10 * fixture.Patience
 	}
-	p := start(t, testConfig(Static(list...)))
+	p := start(t, cfg)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() {
@@ -153,7 +157,8 @@
 	if err := fixture.Receive(t, done, "the result"); status.Code(err) != codes.Canceled {
 		t.Errorf("%v", err)
 	}
-	p.Close() // returns only when the attempt has ended
+	fixture.Receive(t, resets, "the attempt's end") // else the server goes on for nobody
+	p.Close()
 	if len(headers) > 0 {
 		t.Error("it was sent again")
 	}
