--- /dev/null
+++ b/internal/store/measure/measure_test.go
@@ -0,0 +1,252 @@
+// Package measure weighs the store against bbolt and pebble on the ledger's work: small entries, each durable before
+// somebody is answered, that live for seconds. It is a module of its own, so that neither is a dependency of hazelwing:
+//
+//	cd internal/store/measure && go test -v -timeout 30m
+package measure
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble"
+	"go.etcd.io/bbolt"
+
+	"hazelwing/internal/store"
+)
+
+var (
+	length = flag.Duration("length", 2*time.Second, "of each run of appends")
+	live   = flag.Int("live", 1_000_000, "entries of the start-up run")
+)
+
+// engine is one of the three.
+type engine interface {
+	put(key string, value []byte) error // durable
+	load(n int) error                   // n entries, durable at the end
+	close() error
+}
+
+var bucket = []byte("b")
+
+type own struct{ *store.Store }
+
+func openOwn(dir string) (engine, error) {
+	fs, err := store.Dir(dir)
+	if err != nil {
+		return nil, err
+	}
+	s, err := store.Open(fs, store.Options{MaxBytes: 4 << 30})
+	return own{s}, err
+}
+
+func (o own) put(key string, value []byte) error {
+	return o.Put(key, value, time.Now().Add(time.Hour))
+}
+
+func (o own) load(n int) error {
+	var all sync.WaitGroup
+	var failed atomic.Pointer[error]
+	const writers = 1024
+	for w := range writers {
+		all.Go(func() {
+			for i := w; i < n; i += writers {
+				if err := o.put(key(i), value(i)); err != nil {
+					failed.Store(&err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if err := failed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+func (o own) close() error { return o.Close() }
+
+type bolt struct{ *bbolt.DB }
+
+func openBolt(dir string) (engine, error) {
+	db, err := bbolt.Open(filepath.Join(dir, "bolt.db"), 0o600, nil)
+	if err != nil {
+		return nil, err
+	}
+	db.MaxBatchDelay = time.Millisecond
+	return bolt{db}, db.Update(func(tx *bbolt.Tx) error {
+		_, err := tx.CreateBucketIfNotExists(bucket)
+		return err
+	})
+}
+
+func (b bolt) put(key string, value []byte) error {
+	return b.Batch(func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Put([]byte(key), value) })
+}
+
+func (b bolt) load(n int) error {
+	for from := 0; from < n; from += 10_000 {
+		if err := b.Update(func(tx *bbolt.Tx) error {
+			for i := from; i < min(n, from+10_000); i++ {
+				if err := tx.Bucket(bucket).Put([]byte(key(i)), value(i)); err != nil {
+					return err
+				}
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+func (b bolt) close() error { return b.DB.Close() }
+
+type peb struct{ *pebble.DB }
+
+func openPebble(dir string) (engine, error) {
+	db, err := pebble.Open(dir, &pebble.Options{Logger: quiet{}})
+	return peb{db}, err
+}
+
+type quiet struct{}
+
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Errorf(string, ...any) {}
+func (quiet) Fatalf(f string, a ...any) {
+	panic(fmt.Sprintf(f, a...))
+}
+
+func (p peb) put(key string, value []byte) error { return p.Set([]byte(key), value, pebble.Sync) }
+
+func (p peb) load(n int) error {
+	for from := 0; from < n; from += 10_000 {
+		b := p.NewBatch()
+		for i := from; i < min(n, from+10_000); i++ {
+			if err := b.Set([]byte(key(i)), value(i), nil); err != nil {
+				return err
+			}
+		}
+		if err := b.Commit(pebble.Sync); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+func (p peb) close() error { return p.DB.Close() }
+
+var engines = []struct {
+	name string
+	open func(dir string) (engine, error)
+}{{"store", openOwn}, {"bbolt", openBolt}, {"pebble", openPebble}}
+
+// key and value are like the ledger's: a fingerprint, and a few words about it.
+func key(i int) string { return fmt.Sprintf("book/%08x%08x", uint32(i)*2654435761, i) }
+
+func value(i int) []byte { return binary.LittleEndian.AppendUint64(make([]byte, 40, 48), uint64(i)) }
+
+func diskUse(t *testing.T, dir string) (sum int64) {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if i, err := e.Info(); err == nil && !e.IsDir() {
+			sum += i.Size()
+		}
+	}
+	return sum
+}
+
+// written is what this process has given to the file systems so far; 0 where the system does not tell.
+func written() (n int64) {
+	b, _ := os.ReadFile("/proc/self/io")
+	for line := range strings.Lines(string(b)) {
+		if _, err := fmt.Sscanf(line, "wchar: %d", &n); err == nil {
+			return n
+		}
+	}
+	return 0
+}
+
+func TestAppends(t *testing.T) {
+	fmt.Println("| engine | writers | durable appends a second | p50 ms | p99 ms | bytes given to the system for each byte kept |\n| --- | --- | --- | --- | --- | --- |")
+	for _, writers := range []int{1, 16, 256} {
+		for _, e := range engines {
+			db, err := e.open(t.TempDir())
+			if err != nil {
+				t.Fatal(err)
+			}
+			var mu sync.Mutex
+			var took []time.Duration
+			var next atomic.Int64
+			var all sync.WaitGroup
+			before, end := written(), time.Now().Add(*length)
+			for range writers {
+				all.Go(func() {
+					var own []time.Duration
+					for time.Now().Before(end) {
+						i := int(next.Add(1))
+						begun := time.Now()
+						if err := db.put(key(i), value(i)); err != nil {
+							t.Error(err)
+							return
+						}
+						own = append(own, time.Since(begun))
+					}
+					mu.Lock()
+					took = append(took, own...)
+					mu.Unlock()
+				})
+			}
+			all.Wait()
+			given := written() - before
+			slices.Sort(took)
+			n := len(took)
+			kept := int64(n) * int64(len(key(0))+len(value(0)))
+			fmt.Printf("| %s | %d | %.0f | %.2f | %.2f | %.1f |\n", e.name, writers, float64(n)/length.Seconds(),
+				took[n/2].Seconds()*1000, took[n*99/100].Seconds()*1000, float64(given)/float64(kept))
+			if err := db.close(); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+func TestStart(t *testing.T) {
+	fmt.Println("| engine | live entries | start s | memory for each entry, bytes | disk MB |\n| --- | --- | --- | --- | --- |")
+	for _, e := range engines {
+		dir := t.TempDir()
+		db, err := e.open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := db.load(*live); err != nil {
+			t.Fatal(err)
+		}
+		if err := db.close(); err != nil {
+			t.Fatal(err)
+		}
+		heap := func() uint64 {
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		before, begun := heap(), time.Now()
+		if db, err = e.open(dir); err != nil {
+			t.Fatal(err)
+		}
+		took := time.Since(begun)
+		fmt.Printf("| %s | %d | %.2f | %.0f | %.0f |\n", e.name, *live, took.Seconds(), float64(int64(heap())-int64(before))/float64(*live), float64(diskUse(t, dir))/1e6)
+		db.close()
+	}
+}
