Streams that have begun are no pressure; end what nobody reads

A stream counted as a request in hand for as long as it lasted, so that a few dozen long ones looked like pressure and everything else was refused: it is out of hand at its first byte. A message that cannot be read left the server's stream running; and waiting for a stream that was never made did not end with its context.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -103,7 +103,8 @@
 	case Request:
 		b.arrive(e)
 	case FirstByte:
-		if r := b.reqs[e.ID]; r != nil {
+		if r := b.reqs[e.ID]; r != nil && !r.stream {
+			b.hold(r, -1) // how long the stream lasts is no sign of pressure
 			r.stream = true
 			b.cancelRest(r, e.Attempt)
 		}
@@ -360,7 +361,9 @@
 		return
 	}
 	r.done = true
-	b.hold(r, -1)
+	if !r.stream {
+		b.hold(r, -1)
+	}
 	b.forget(r)
 }
 
--- a/balancer/report_test.go
+++ b/balancer/report_test.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // A report that comes with an outcome tells what an upstream holds as a probe's does: the next request goes to the one
 // that holds less, whatever else its answers say. One that cannot be true is not believed.
@@ -21,6 +24,30 @@
 	}
 }
 
+// Streams that have begun are no sign of pressure, however long they last. Guards against refusing all else beside them.
+func TestStreamsAreNoPressure(t *testing.T) {
+	s := testSettings()
+	s.Classes = append(s.Classes, Class{Name: "s", Aim: 200 * ms, Deadline: 1000 * ms, Worth: 1, Stream: true})
+	r := newRig(t, s)
+	r.fleet(4)
+	for i := range 50 {
+		id := fmt.Sprint("s", i)
+		r.request(id, "s", 1000*ms)
+		r.now += 5 * ms
+		r.do(FirstByte{ID: id})
+	}
+	r.pass(60 * 1000 * ms)
+	if r.b.waiting != 0 || r.b.pressure() != 0 {
+		t.Errorf("%d in hand, pressure %v", r.b.waiting, r.b.pressure())
+	}
+	for i := range 50 {
+		r.do(Outcome{ID: fmt.Sprint("s", i), Result: OK, Elapsed: 5 * ms, Finished: true})
+	}
+	if r.b.waiting != 0 || len(r.b.reqs) != 0 {
+		t.Errorf("%d in hand, %d remembered", r.b.waiting, len(r.b.reqs))
+	}
+}
+
 // Both of a pair are as fast; one has said with its last answer that it holds more.
 func TestReportDecides(t *testing.T) {
 	r := newRig(t, testSettings())
--- a/internal/transport/grpc/exchange.go
+++ b/internal/transport/grpc/exchange.go
@@ -215,14 +215,19 @@
 	var f frame
 	err := s.RecvMsg(&f)
 	if err != nil {
-		select {
-		case s.ended <- err:
-		default: // it ended before
-		}
+		s.End(err)
 	}
 	return f.data, err
 }
 
+// End ends the stream, whether or not more would come; only the first call counts.
+func (s *Stream) End(err error) {
+	select {
+	case s.ended <- err:
+	default:
+	}
+}
+
 // trailer may be read only of a stream that has ended by itself.
 func (s *Stream) trailer(err error) metadata.MD {
 	if err != nil {
--- a/rpc/hazelgrpc/hard_test.go
+++ b/rpc/hazelgrpc/hard_test.go
@@ -203,6 +203,38 @@
 	}
 }
 
+// A message that cannot be read ends the stream for both sides: guards against one that goes on for nobody.
+func TestUnreadableMessage(t *testing.T) {
+	resets := make(chan bool, 10)
+	addr := raw(t, func(s *rawh2.Stream) {
+		if s.Whole {
+			s.Header()
+			s.Message(okMessage)
+			s.Message([]byte{0xff}) // no message of any kind
+		}
+	}, rawh2.OnReset(func(*rawh2.Stream) { resets <- true }))
+	p := start(t, testConfig(Static(Member{Addr: addr, Zone: "a"})))
+	got, err := read(p, t.Context(), "abc")
+	if status.Code(err) != codes.Internal || len(got) != 1 {
+		t.Errorf("%q, %v", got, err)
+	}
+	fixture.Receive(t, resets, "the stream's end")
+}
+
+// Waiting for a stream that was never made ends with its context.
+func TestStreamWithoutRequest(t *testing.T) {
+	p := start(t, testConfig(Static(Member{Addr: fixture.NoAddr})))
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err := p.NewStream(ctx, &grpcnode.FollowDesc, follow)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := s.RecvMsg(new(wrapperspb.StringValue)); status.Code(err) != codes.Canceled {
+		t.Error(err)
+	}
+}
+
 // read makes a streaming call and reads it to its end.
 func read(p grpc.ClientConnInterface, ctx context.Context, text string) (got []string, err error) {
 	s, err := p.NewStream(ctx, &grpcnode.FollowDesc, follow)
--- a/rpc/hazelgrpc/stream.go
+++ b/rpc/hazelgrpc/stream.go
@@ -88,9 +88,19 @@
 	})
 }
 
+// wait waits for the result, and no longer than the context where the call was never made.
+func (s *clientStream) wait() {
+	select {
+	case <-s.ready:
+	case <-s.ctx.Done():
+		s.begin.Do(func() { s.settle(nil, status.FromContextError(s.ctx.Err()).Err()) })
+		<-s.ready // the call's result comes now
+	}
+}
+
 // RecvMsg returns the next message, or how the stream ended: io.EOF where all went well.
 func (s *clientStream) RecvMsg(reply any) error {
-	<-s.ready
+	s.wait()
 	if s.ended != nil {
 		return s.ended
 	}
@@ -98,9 +108,17 @@
 	if err == nil {
 		if err = s.options.codec.Unmarshal(mem.BufferSlice{mem.SliceBuffer(data)}, reply); err != nil {
 			err = status.Errorf(codes.Internal, "hazelgrpc: a message cannot be read: %v", err)
+			if s.answer.Stream != nil {
+				s.answer.Stream.End(err) // nobody reads on
+			}
+			s.end(err)
+			return err
 		}
 	}
 	if err != nil {
+		if s.answer != nil && s.answer.Stream != nil { // it has ended by itself: only then may its trailer be read
+			s.answer.Trailer = s.answer.Stream.Trailer()
+		}
 		s.end(err)
 	}
 	return err
@@ -132,11 +150,8 @@
 // end is called once, when the stream has.
 func (s *clientStream) end(err error) {
 	s.ended = err
-	if a := s.answer; a != nil {
-		if a.Stream != nil {
-			a.Trailer = a.Stream.Trailer()
-		}
-		s.options.fill(a)
+	if s.answer != nil {
+		s.options.fill(s.answer)
 	}
 	if err == io.EOF {
 		err = nil
@@ -146,7 +161,7 @@
 
 // Header waits until the stream has begun.
 func (s *clientStream) Header() (metadata.MD, error) {
-	<-s.ready
+	s.wait()
 	if s.answer == nil {
 		return nil, s.err
 	}
