A second stream proves nothing unless grpc-go says that it is a transparent retry

Seen on reading the change again, and shown by a test: with an interceptor in Config.Dial that retries by itself, an unsafe call whose node broke after running it was sent to a second node. The proof that an attempt never ran was a second tag of the statistics handler, which such an interceptor causes as well. It is stats.Begin's IsTransparentRetryAttempt now, and the interceptor's own tries are denied and prove nothing. Result: one copy and a failure, where there were two copies; refused streams and GOAWAY go on to another node as before.

--- a/internal/standin/rawh2/rawh2.go
+++ b/internal/standin/rawh2/rawh2.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"testing"
 
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
@@ -49,6 +50,17 @@
 	return s, nil
 }
 
+// Start starts one until the test ends, and returns where it listens.
+func Start(t testing.TB, serve func(*Stream), opts ...Option) string {
+	t.Helper()
+	s, err := New(serve, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Addr()
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.l.Addr().String() }
 
--- a/internal/transport/grpc/gate.go
+++ b/internal/transport/grpc/gate.go
@@ -12,10 +12,11 @@
 )
 
 // gate lets one stream of an exchange through, and no other. grpc-go asks the call's credentials for each stream that
-// it is about to open, and tags each with its statistics handler; both are public interfaces of its own.
+// it is about to open, and tells its statistics handler of each; both are public interfaces of its own.
 //
 //   - Its transparent retry cannot be switched off (WithDisableRetry leaves it on): it opens another stream for the
-//     same call where it knows that the first was not processed. The second tag tells, the second question is denied.
+//     same call where it knows that the first was not processed. stats.Begin tells that it is one, and the credentials
+//     say no. An interceptor that retries by itself is denied too, but proves nothing.
 //   - A stream that has been let through may wait for room on the connection (SETTINGS_MAX_CONCURRENT_STREAMS). It is
 //     on the wire when its headers were counted out, not before.
 type gate struct {
@@ -28,10 +29,10 @@
 	forbidden bool
 	denied    bool // the one stream was not let through
 
-	streams atomic.Int32 // that grpc-go has begun to open
-	wrote   atomic.Bool  // the headers are on the connection
-	late    atomic.Bool  // a stream did not begin in time
-	trailed atomic.Bool  // the server has ended the stream itself, with a status
+	refused atomic.Bool // grpc-go knows the one stream not to have been processed: it went on to open another
+	wrote   atomic.Bool // the headers are on the connection
+	late    atomic.Bool // a stream did not begin in time
+	trailed atomic.Bool // the server has ended the stream itself, with a status
 }
 
 var errDenied = status.Error(codes.Unavailable, "hazelwing: this attempt may not be written")
@@ -67,34 +68,29 @@
 	}
 }
 
-// refused says that grpc-go knows the one stream not to have been processed: it went on to open another.
-func (g *gate) refused() bool { return g.streams.Load() > 1 }
-
 type gateKey struct{}
 
 // observer tells a call's gate what grpc-go does. It has no state of its own.
 type observer struct{}
 
-// TagRPC is called for each stream before it is opened.
-func (observer) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
-	if g, ok := ctx.Value(gateKey{}).(*gate); ok && g.streams.Add(1) > 1 {
-		g.stop() // guards against waiting for another connection only to be denied there
-	}
-	return ctx
-}
-
 func (observer) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	switch s.(type) {
-	case *stats.OutHeader:
-		if g, ok := ctx.Value(gateKey{}).(*gate); ok {
-			g.wrote.Store(true)
+	g, ok := ctx.Value(gateKey{}).(*gate)
+	if !ok {
+		return
+	}
+	switch v := s.(type) {
+	case *stats.Begin:
+		if v.IsTransparentRetryAttempt {
+			g.refused.Store(true)
+			g.stop() // guards against waiting for another connection only to be denied there
 		}
+	case *stats.OutHeader:
+		g.wrote.Store(true)
 	case *stats.InTrailer:
-		if g, ok := ctx.Value(gateKey{}).(*gate); ok {
-			g.trailed.Store(true)
-		}
+		g.trailed.Store(true)
 	}
 }
 
+func (observer) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context   { return ctx }
 func (observer) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
 func (observer) HandleConn(context.Context, stats.ConnStats)                       {}
--- a/internal/transport/grpc/outcome.go
+++ b/internal/transport/grpc/outcome.go
@@ -24,7 +24,7 @@
 // These prove that an attempt never ran; all else that is no answer may have run:
 //
 //   - its headers were not counted out (stats.OutHeader): nothing of it is on the connection;
-//   - grpc-go went on to open another stream for it, which it does only for one that the server did not process:
+//   - grpc-go went on to retry it transparently (stats.Begin), which it does only where the server did not process it:
 //     REFUSED_STREAM, or a GOAWAY whose last stream id is below (RFC 9113, sections 6.8 and 8.7; gRFC A6, "transparent
 //     retries"). The status alone proves nothing: UNAVAILABLE is also what a connection that breaks afterwards gives;
 //   - the server says so in NotRunTrailer.
@@ -36,7 +36,7 @@
 		return balancer.OK, true
 	}
 	switch {
-	case g.refused():
+	case g.refused.Load():
 		return balancer.Overloaded, false
 	case !g.wrote.Load():
 		return unwritten(ctx, g), false
--- a/internal/transport/grpc/transport_test.go
+++ b/internal/transport/grpc/transport_test.go
@@ -40,16 +40,6 @@
 	return &engine.Call{ID: "1", Payload: &Request{Context: ctx, Method: grpcnode.Do, Codec: "proto", Message: []byte("\n\x01x")}}
 }
 
-func server(t *testing.T, serve func(*rawh2.Stream), opts ...rawh2.Option) string {
-	t.Helper()
-	s, err := rawh2.New(serve, opts...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
-	return s.Addr()
-}
-
 func run(x engine.Exchange) chan engine.Outcome {
 	done := make(chan engine.Outcome, 1)
 	go func() { done <- x.Run(nil) }()
@@ -61,7 +51,7 @@
 func TestDrainWhileWaitingForRoom(t *testing.T) {
 	var first atomic.Pointer[rawh2.Stream]
 	var came atomic.Int32
-	addr := server(t, func(s *rawh2.Stream) {
+	addr := rawh2.Start(t, func(s *rawh2.Stream) {
 		if s.Whole && came.Add(1) == 1 {
 			first.Store(s)
 		}
@@ -107,7 +97,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var came atomic.Int32
-			addr := server(t, func(*rawh2.Stream) { came.Add(1) })
+			addr := rawh2.Start(t, func(*rawh2.Stream) { came.Add(1) })
 			tr := newTransport(t, 100*time.Millisecond)
 			tr.Update(true, listed(addr, balancer.Active), time.Now())
 			x := tr.Attempt("s", call(t.Context()), fixture.Patience)
@@ -125,7 +115,7 @@
 // An attempt that is asked for after the news, within the grace, is not written after it either.
 func TestAttemptAfterTheDrain(t *testing.T) {
 	var came atomic.Int32
-	addr := server(t, func(*rawh2.Stream) { came.Add(1) })
+	addr := rawh2.Start(t, func(*rawh2.Stream) { came.Add(1) })
 	tr := newTransport(t, 100*time.Millisecond)
 	tr.Update(true, listed(addr, balancer.Active), time.Now())
 	tr.Update(false, listed(addr, balancer.Leaving), time.Now().Add(-time.Second))
@@ -138,7 +128,7 @@
 // Nothing is sent to who is not known, and the connections of who left are closed when what was out has ended.
 func TestConnectionsFollowTheList(t *testing.T) {
 	held := make(chan *rawh2.Stream, 1)
-	addr := server(t, func(s *rawh2.Stream) {
+	addr := rawh2.Start(t, func(s *rawh2.Stream) {
 		if s.Whole {
 			held <- s
 		}
@@ -231,7 +221,7 @@
 // A server without grpc.health.v1 says nothing, and a member that does not serve is not taken to.
 func TestProbeOfOthers(t *testing.T) {
 	for status, want := range map[string]balancer.Result{"12": balancer.Moot, "14": balancer.ServerError} {
-		addr := server(t, func(s *rawh2.Stream) {
+		addr := rawh2.Start(t, func(s *rawh2.Stream) {
 			if s.Whole {
 				s.Only(status)
 			}
--- a/rpc/hazelgrpc/call_test.go
+++ b/rpc/hazelgrpc/call_test.go
@@ -246,7 +246,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	up := raw(t, func(s *rawh2.Stream) {
+	up := rawh2.Start(t, func(s *rawh2.Stream) {
 		if s.Whole {
 			s.OK(okMessage)
 		}
--- a/rpc/hazelgrpc/hard_test.go
+++ b/rpc/hazelgrpc/hard_test.go
@@ -41,7 +41,7 @@
 	came := new(atomic.Int32)
 	var list []Member
 	for range 2 {
-		list = append(list, Member{Zone: "a", Addr: raw(t, func(s *rawh2.Stream) {
+		list = append(list, Member{Zone: "a", Addr: rawh2.Start(t, func(s *rawh2.Stream) {
 			if s.Whole {
 				serve(s, came.Add(1)-1)
 			}
@@ -98,7 +98,7 @@
 	copies := map[string]int{}
 	var list []Member
 	for i := range 3 {
-		list = append(list, Member{Zone: "a", Addr: raw(t, func(s *rawh2.Stream) {
+		list = append(list, Member{Zone: "a", Addr: rawh2.Start(t, func(s *rawh2.Stream) {
 			if s.Whole {
 				mu.Lock()
 				copies[fmt.Sprint(i)]++
@@ -129,13 +129,42 @@
 	}
 }
 
+// An interceptor below the plug-in that retries by itself opens a second stream, too, but proves nothing: the call has
+// run. Guards against taking it for grpc-go's transparent retry, and against what it would send.
+func TestRetryingInterceptorProvesNothing(t *testing.T) {
+	members, came := two(t, func(s *rawh2.Stream, before int32) {
+		if before == 0 {
+			s.Break()
+		} else {
+			s.OK(okMessage)
+		}
+	})
+	cfg := testConfig(members)
+	tries := 0
+	cfg.Dial = append(cfg.Dial, grpc.WithUnaryInterceptor(func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+		var err error
+		for range 3 {
+			tries++
+			if err = invoke(ctx, method, req, reply, cc, opts...); err == nil {
+				return nil
+			}
+		}
+		return err
+	}))
+	p := start(t, cfg)
+	_, err := ask(p, t.Context(), book, "seat")
+	if _, refusal := RefusedFor(err); err == nil || refusal || came.Load() != 1 || tries != 3 {
+		t.Errorf("%v after %d copies and %d tries", err, came.Load(), tries)
+	}
+}
+
 // The application leaves while its request is being written: more than the windows let through, to a member that reads
 // nothing. It gets its one result, nothing is sent elsewhere, and the attempt ends.
 func TestCancelWhileWriting(t *testing.T) {
 	headers, resets := make(chan bool, 10), make(chan bool, 10)
 	var list []Member
 	for range 2 {
-		list = append(list, Member{Zone: "a", Addr: raw(t, func(s *rawh2.Stream) {
+		list = append(list, Member{Zone: "a", Addr: rawh2.Start(t, func(s *rawh2.Stream) {
 			if len(s.Data) == 0 {
 				headers <- true
 			}
@@ -206,7 +235,7 @@
 // A message that cannot be read ends the stream for both sides: guards against one that goes on for nobody.
 func TestUnreadableMessage(t *testing.T) {
 	resets := make(chan bool, 10)
-	addr := raw(t, func(s *rawh2.Stream) {
+	addr := rawh2.Start(t, func(s *rawh2.Stream) {
 		if s.Whole {
 			s.Header()
 			s.Message(okMessage)
--- a/rpc/hazelgrpc/members_test.go
+++ b/rpc/hazelgrpc/members_test.go
@@ -18,7 +18,7 @@
 // Members come from one of gRPC's resolvers, with what it knows of them, and follow it.
 func TestResolver(t *testing.T) {
 	answering := func(name string) string {
-		return raw(t, func(s *rawh2.Stream) {
+		return rawh2.Start(t, func(s *rawh2.Stream) {
 			if s.Whole {
 				s.OK(append([]byte{'\n', byte(len(name))}, name...))
 			}
--- a/rpc/hazelgrpc/rig_test.go
+++ b/rpc/hazelgrpc/rig_test.go
@@ -15,7 +15,6 @@
 	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 	"hazelwing/internal/standin/grpcnode"
-	"hazelwing/internal/standin/rawh2"
 )
 
 const (
@@ -48,17 +47,6 @@
 	return p
 }
 
-// raw starts a server that answers frame by frame, and counts what reaches it whole in came.
-func raw(t testing.TB, serve func(*rawh2.Stream), opts ...rawh2.Option) string {
-	t.Helper()
-	s, err := rawh2.New(serve, opts...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
-	return s.Addr()
-}
-
 // ask makes a unary call.
 func ask(p grpc.ClientConnInterface, ctx context.Context, method, text string, opts ...grpc.CallOption) (string, error) {
 	var out wrapperspb.StringValue
