One loop that cancels a call's attempts, one constructor of the HTTP pool

Found on reading the change again: the engine cancelled all attempts of a call in two places, the pool's defaults stood in two constructors, and a stream's end was handled in two branches.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -71,7 +71,8 @@
 	log       *slog.Logger
 	pushed    bool // the list comes without the module's asking
 	maxCalls  int
-	hasty     bool // Config.CancelGone
+
+	cancelGone bool
 
 	events chan any
 	lists  chan told     // before all other events
@@ -100,7 +101,7 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	e := &Engine{bal: bal, clock: newClock(), transport: cfg.Transport, source: cfg.Source,
-		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls, hasty: cfg.CancelGone,
+		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls, cancelGone: cfg.CancelGone,
 		events: make(chan any, queueLength), lists: make(chan told, queueLength), closed: make(chan struct{}),
 		calls: map[string]*Call{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
 	e.timer.Stop()
@@ -260,10 +261,8 @@
 	case !c.answered:
 		e.finish(c)
 		e.handle(balancer.Gone{ID: c.ID})
-		if e.hasty {
-			for _, a := range c.attempts {
-				a.exchange.Cancel()
-			}
+		if e.cancelGone {
+			c.cancel()
 		}
 		e.forget(c)
 	case c.begun != none: // it left as its stream began
@@ -324,6 +323,13 @@
 	}
 }
 
+// cancel ends all attempts of a call.
+func (c *Call) cancel() {
+	for _, a := range c.attempts {
+		a.exchange.Cancel()
+	}
+}
+
 // forget lets a call go that is answered and has no attempt out.
 func (e *Engine) forget(c *Call) {
 	if c.answered && c.out == 0 && e.calls[c.ID] == c {
@@ -426,9 +432,7 @@
 			e.result(c, Result{Kind: Refused, Err: errClosed})
 		}
 		e.result(c, Result{Kind: Failed, Answer: c.lastAns, Err: errClosed})
-		for _, a := range c.attempts {
-			a.exchange.Cancel()
-		}
+		c.cancel()
 	}
 	for e.out > 0 {
 		select {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -60,7 +60,8 @@
 // otherFiles is what discovery, the log, the listener and the runtime may need.
 const otherFiles = 16
 
-// ClientConns is how many connections of clients may be held. They and UpstreamConns share the descriptors: a request needs one of each.
+// ClientConns is how many connections of clients may be held. They and UpstreamConns share the descriptors: a request
+// needs one of each.
 func (l Limits) ClientConns() int {
 	return max(1, (cmp.Or(l.Sockets, defaultSockets)-otherFiles)/2)
 }
--- a/internal/transport/http1/http1_test.go
+++ b/internal/transport/http1/http1_test.go
@@ -19,7 +19,9 @@
 	"hazelwing/internal/standin/fixture"
 )
 
-func testPool() *Pool { return newPool(time.Second, 15*time.Second, 250*time.Millisecond, 100) }
+func testPool() *Pool {
+	return New(Config{Connect: time.Second, Idle: 15 * time.Second, Grace: 250 * time.Millisecond, Conns: 100})
+}
 
 // active lists upstream "s" at addr.
 func active(addr string) []engine.Member {
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -116,23 +116,17 @@
 
 // New makes a Pool. Sweep closes what stands idle.
 func New(c Config) *Pool {
-	p := newPool(c.Connect, c.Idle, c.Grace, cmp.Or(c.Conns, defaultConns))
-	p.body = max(c.Answer, leastAnswer)
-	return p
-}
-
-func newPool(connect, idle, grace time.Duration, limit int) *Pool {
-	if connect <= 0 {
-		connect = defaultDial
+	if c.Connect <= 0 {
+		c.Connect = defaultDial
 	}
-	if idle <= 0 {
-		idle = defaultIdle
+	if c.Idle <= 0 {
+		c.Idle = defaultIdle
 	}
-	if grace <= 0 {
-		grace = defaultGrace
+	if c.Grace <= 0 {
+		c.Grace = defaultGrace
 	}
-	return &Pool{dial: net.Dialer{Timeout: connect}, idle: time.Duration(float64(idle) * idleShare), grace: grace,
-		max: limit, body: leastAnswer, ups: map[string]*upstream{}}
+	return &Pool{dial: net.Dialer{Timeout: c.Connect}, idle: time.Duration(float64(c.Idle) * idleShare), grace: c.Grace,
+		max: cmp.Or(c.Conns, defaultConns), body: max(c.Answer, leastAnswer), ups: map[string]*upstream{}}
 }
 
 // Sweep closes connections that have stood idle for long, until ctx ends, and then all that are idle.
--- a/rpc/hazelgrpc/stream.go
+++ b/rpc/hazelgrpc/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"sync"
 
@@ -111,14 +110,9 @@
 			if s.answer.Stream != nil {
 				s.answer.Stream.End(err) // nobody reads on
 			}
-			s.end(err)
-			return err
 		}
 	}
 	if err != nil {
-		if s.answer != nil && s.answer.Stream != nil { // it has ended by itself: only then may its trailer be read
-			s.answer.Trailer = s.answer.Stream.Trailer()
-		}
 		s.end(err)
 	}
 	return err
@@ -133,7 +127,8 @@
 		return s.answer.Message, nil
 	}
 	data, err := s.answer.Stream.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil { // it has ended by itself: only then may its trailer be read
+		s.answer.Trailer = s.answer.Stream.Trailer()
 		err = promiseless(err)
 	}
 	return data, err
