--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -201,6 +201,10 @@
 	if r := fixture.Receive(t, second.reply, "the second's result"); r.Kind != Duplicate {
 		t.Errorf("the second got %+v", r)
 	}
+	e.event(ended{first, 0, Outcome{Result: balancer.Moot}})
+	if len(first.attempts) != 2 {
+		t.Error("the module has let the first call go: it is not sent again")
+	}
 }
 
 // Guards against memory that grows with what a front lets in.
--- a/internal/transport/grpc/transport_test.go
+++ b/internal/transport/grpc/transport_test.go
@@ -261,3 +261,28 @@
 		}
 	}
 }
+
+// The status of a stream that the server has not ended is grpc-go's own, and blames the connection: not the server's
+// answer, and above all not one that is the client's.
+func TestOwnWordsAreNoAnswer(t *testing.T) {
+	for name, end := range map[string]func(*rawh2.Stream){
+		"broken": (*rawh2.Stream).Break,
+		"reset":  (*rawh2.Stream).Reset,
+		"an answer that cannot be read": func(s *rawh2.Stream) {
+			s.Header()
+			s.Message([]byte("\xff\xff"))
+			s.Break()
+		},
+	} {
+		addr := rawh2.Start(t, func(s *rawh2.Stream) {
+			if s.Whole {
+				end(s)
+			}
+		})
+		tr := newTransport(t, time.Second)
+		tr.Update(true, listed(addr, balancer.Active), time.Now())
+		if o := fixture.Receive(t, run(tr.Attempt("s", call(t.Context()), fixture.Patience)), "the outcome"); o.Result != balancer.Reset || o.Final {
+			t.Errorf("%s: result %d, final %v (%v)", name, o.Result, o.Final, o.Err)
+		}
+	}
+}
