Store: hint files, places given back by itself, and confirmations before the sync

The ledger needs a store that runs unattended under a bound on disk, starts fast, and lets the operator trade a loss of power for speed.

Closed segments get hint files; the oldest are dropped whole once nothing in them counts; a compaction runs where enough is of no use, or the store fills. SyncEvery confirms before the sync, and makes a failed one good in a new segment; PutLater leaves what nobody waits for.

--- a/internal/standin/faultfs/faultfs.go
+++ b/internal/standin/faultfs/faultfs.go
@@ -37,8 +37,8 @@
 	Steps      int64
 	// Space is how many bytes fit on the disk; -1: any.
 	Space int64
-	// FailSyncs and FailWrites make so many of the next ones fail with EIO.
-	FailSyncs, FailWrites int
+	// FailSyncs, FailWrites and FailRemoves make so many of the next ones fail with EIO.
+	FailSyncs, FailWrites, FailRemoves int
 	// SyncTime is how long a Sync takes.
 	SyncTime time.Duration
 }
@@ -110,6 +110,10 @@
 	if i == nil {
 		return syscall.ENOENT
 	}
+	if f.FailRemoves > 0 {
+		f.FailRemoves--
+		return syscall.EIO
+	}
 	f.used -= int64(len(i.data))
 	delete(f.files, name)
 	return nil
@@ -196,7 +200,10 @@
 }
 
 func (h *file) Sync() error {
-	time.Sleep(h.f.SyncTime)
+	h.f.mu.Lock()
+	wait := h.f.SyncTime
+	h.f.mu.Unlock()
+	time.Sleep(wait)
 	h.f.mu.Lock()
 	defer h.f.mu.Unlock()
 	if _, err := h.f.step(1); err != nil {
@@ -308,6 +315,40 @@
 	f.files[name].data[at] ^= 1 << bit
 }
 
+// Cut cuts a file.
+func (f *FS) Cut(name string, size int64) { f.Put(name, f.Content(name)[:size]) }
+
+// Put gives a file a content that is durable.
+func (f *FS) Put(name string, data []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i := f.files[name]; i != nil {
+		f.used -= int64(len(i.data))
+	}
+	f.put(name, data)
+}
+
+// SetFailSyncs, SetSpace and SetSyncTime change the fields while the file system is in use.
+func (f *FS) SetFailSyncs(n int) {
+	f.mu.Lock()
+	f.FailSyncs = n
+	f.mu.Unlock()
+}
+
+// SetSpace is described at SetFailSyncs.
+func (f *FS) SetSpace(n int64) {
+	f.mu.Lock()
+	f.Space = n
+	f.mu.Unlock()
+}
+
+// SetSyncTime is described at SetFailSyncs.
+func (f *FS) SetSyncTime(d time.Duration) {
+	f.mu.Lock()
+	f.SyncTime = d
+	f.mu.Unlock()
+}
+
 // Content is a copy of a file's.
 func (f *FS) Content(name string) []byte {
 	f.mu.Lock()
--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -28,9 +28,11 @@
 	now := s.o.Now().UnixMilli()
 	s.mu.Lock()
 	s.segments[output] = g
+	g.sealed = true
 	for key, p := range moved {
 		if s.index[key].seq == p.seq {
 			s.index[key] = p
+			g.holds(p)
 		}
 	}
 	old := map[uint64]bool{}
@@ -48,20 +50,16 @@
 	for _, x := range sealed {
 		delete(s.segments, x.number)
 	}
+	s.count.compactions++
+	s.compacted = 0
+	for _, x := range s.segments {
+		s.compacted += x.size
+	}
 	s.mu.Unlock()
 	for _, x := range sealed {
 		err = errors.Join(err, x.f.Close())
 	}
-	// In order, and each durable before the next: no put outlives its delete.
-	for _, x := range sealed {
-		if e := s.fs.Remove(segmentName(x.number)); e != nil {
-			return errors.Join(err, fmt.Errorf("store: %s: %w", segmentName(x.number), e))
-		}
-		if e := s.fs.SyncDir(); e != nil {
-			return errors.Join(err, e)
-		}
-	}
-	return err
+	return errors.Join(err, s.remove(sealed...))
 }
 
 // copy writes what counts in sealed segments to a new one, and syncs it.
@@ -110,9 +108,9 @@
 		err = g.f.Sync()
 	}
 	if err != nil {
+		// Copies do no harm before the next compaction, and would after it: deletes that it takes away may be of them.
 		g.f.Close()
-		s.fs.Remove(segmentName(output)) // as far as it goes: copies do no harm
-		return nil, nil, err
+		return nil, nil, errors.Join(err, s.remove(g))
 	}
 	return g, moved, nil
 }
--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -20,7 +20,7 @@
 var epoch = time.UnixMilli(1_800_000_000_000)
 
 func options() store.Options {
-	return store.Options{SegmentSize: 600, Now: func() time.Time { return epoch }}
+	return store.Options{SegmentSize: 600, Manual: true, Now: func() time.Time { return epoch }}
 }
 
 // model is what a store may hold: for each key the value that was confirmed, and those in doubt, whose call returned an
@@ -92,8 +92,10 @@
 		case x < 14:
 			value := append(fmt.Appendf(nil, "%d:", i), bytes.Repeat([]byte{byte('a' + i%26)}, rng.IntN(60))...)
 			m.did(key, value, s.Put(key, value, epoch.Add(time.Hour)))
-		case x < 18:
+		case x < 17:
 			m.did(key, nil, s.Delete(key))
+		case x < 18:
+			s.Maintain()
 		default:
 			s.Compact() // a failed one changes nothing that counts
 		}
@@ -220,9 +222,14 @@
 	}
 }
 
-// Seeded schedules of faults of all kinds, against the model.
+// Seeded schedules of faults of all kinds, against the model. Every fourth confirms before it syncs, and is killed only:
+// a loss of power may take what was confirmed so.
 func TestFaultSchedules(t *testing.T) {
 	for seed := range uint64(*schedules) {
+		o := options()
+		if seed%4 == 3 {
+			o.SyncEvery = time.Millisecond
+		}
 		rng := rand.New(rand.NewPCG(seed, 2))
 		fs := faultfs.New()
 		m := newModel()
@@ -231,7 +238,7 @@
 			keys = append(keys, fmt.Sprintf("key-%d", i))
 		}
 		for life := range 3 {
-			s, err := store.Open(fs, options())
+			s, err := store.Open(fs, o)
 			if err != nil {
 				t.Fatalf("seed %d, life %d: %v", seed, life, err)
 			}
@@ -255,14 +262,17 @@
 				case 0, 1:
 					m.did(key, nil, s.Delete(key))
 				case 2:
-					s.Compact()
+					fs.FailRemoves = rng.IntN(2) * rng.IntN(3)
+					if s.Maintain(); rng.IntN(2) == 0 {
+						s.Compact()
+					}
 				default:
 					value := append(fmt.Appendf(nil, "%d/%d:", life, i), bytes.Repeat([]byte{'v'}, rng.IntN(80))...)
 					m.did(key, value, s.Put(key, value, epoch.Add(time.Hour)))
 				}
 			}
 			s.Close()
-			if rng.IntN(2) == 0 {
+			if rng.IntN(2) == 0 || o.SyncEvery > 0 {
 				fs = fs.Killed()
 			} else {
 				fs = fs.PowerLost(rng)
--- a/internal/store/measure/measure_test.go
+++ b/internal/store/measure/measure_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,12 +27,16 @@
 
 var (
 	length = flag.Duration("length", 2*time.Second, "of each run of appends")
+	lives  = flag.Duration("lives", time.Hour, "how long an entry lives; the run of churn takes 10 s")
+	churn  = flag.Duration("churn", 40*time.Second, "length of the run of churn")
+	rate   = flag.Int("rate", 5000, "entries a second of the run of churn")
 	live   = flag.Int("live", 1_000_000, "entries of the start-up run")
 )
 
 // engine is one of the three.
 type engine interface {
 	put(key string, value []byte) error // durable
+	remove(key string) error            // of what has expired; need not be durable
 	load(n int) error                   // n entries, durable at the end
 	close() error
 }
@@ -50,7 +55,7 @@
 }
 
 func (o own) put(key string, value []byte) error {
-	return o.Put(key, value, time.Now().Add(time.Hour))
+	return o.Put(key, value, time.Now().Add(*lives))
 }
 
 func (o own) load(n int) error {
@@ -72,7 +77,8 @@
 	}
 	return nil
 }
-func (o own) close() error { return o.Close() }
+func (o own) remove(string) error { return nil } // its entries expire by themselves
+func (o own) close() error        { return o.Close() }
 
 type bolt struct{ *bbolt.DB }
 
@@ -107,6 +113,10 @@
 	}
 	return nil
 }
+
+func (b bolt) remove(key string) error {
+	return b.Batch(func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Delete([]byte(key)) })
+}
 func (b bolt) close() error { return b.DB.Close() }
 
 type peb struct{ *pebble.DB }
@@ -140,7 +150,9 @@
 	}
 	return nil
 }
-func (p peb) close() error { return p.DB.Close() }
+
+func (p peb) remove(key string) error { return p.Delete([]byte(key), pebble.NoSync) }
+func (p peb) close() error            { return p.DB.Close() }
 
 var engines = []struct {
 	name string
@@ -235,18 +247,95 @@
 		if err := db.close(); err != nil {
 			t.Fatal(err)
 		}
-		heap := func() uint64 {
-			runtime.GC()
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			return m.HeapAlloc
-		}
-		before, begun := heap(), time.Now()
+		before, begun := memory(), time.Now()
 		if db, err = e.open(dir); err != nil {
 			t.Fatal(err)
 		}
 		took := time.Since(begun)
-		fmt.Printf("| %s | %d | %.2f | %.0f | %.0f |\n", e.name, *live, took.Seconds(), float64(int64(heap())-int64(before))/float64(*live), float64(diskUse(t, dir))/1e6)
+		fmt.Printf("| %s | %d | %.2f | %.0f | %.0f |\n", e.name, *live, took.Seconds(), float64(int64(memory())-int64(before))/float64(*live), float64(diskUse(t, dir))/1e6)
 		db.close()
 	}
 }
+
+// TestChurn puts a steady rate of entries that live for ten seconds, from 64 writers, and says what that takes.
+func TestChurn(t *testing.T) {
+	defer func(old time.Duration) { *lives = old }(*lives)
+	*lives = 10 * time.Second
+	fmt.Println("| engine | entries a second | p50 ms | p99 ms | most on disk, MB | disk at the end, MB | heap at the end, MB | bytes given to the system for each byte kept | processor time, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, e := range engines {
+		dir := t.TempDir()
+		before := memory()
+		db, err := e.open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const writers = 64
+		var mu sync.Mutex
+		var took []time.Duration
+		var all sync.WaitGroup
+		given, used, begun := written(), processor(), time.Now()
+		for w := range writers {
+			all.Go(func() {
+				var own []time.Duration
+				every := time.Second * writers / time.Duration(*rate)
+				for i := 0; ; i++ {
+					due := begun.Add(time.Duration(i) * every)
+					if due.Sub(begun) > *churn {
+						break
+					}
+					time.Sleep(time.Until(due))
+					at := time.Now()
+					if err := db.put(key(i*writers+w), value(i)); err != nil {
+						t.Error(err)
+						return
+					}
+					own = append(own, time.Since(at))
+					if old := i - int(*lives/every); old >= 0 {
+						if err := db.remove(key(old*writers + w)); err != nil {
+							t.Error(err)
+						}
+					}
+				}
+				mu.Lock()
+				took = append(took, own...)
+				mu.Unlock()
+			})
+		}
+		ended := make(chan bool)
+		go func() { all.Wait(); close(ended) }()
+		most := int64(0)
+		for running := true; running; {
+			select {
+			case <-ended:
+				running = false
+			case <-time.After(100 * time.Millisecond):
+				most = max(most, diskUse(t, dir))
+			}
+		}
+		passed := time.Since(begun)
+		given, used = written()-given, processor()-used
+		slices.Sort(took)
+		n := len(took)
+		fmt.Printf("| %s | %.0f | %.2f | %.2f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", e.name, float64(n)/passed.Seconds(),
+			took[n/2].Seconds()*1000, took[n*99/100].Seconds()*1000, float64(most)/1e6, float64(diskUse(t, dir))/1e6,
+			float64(int64(memory())-int64(before))/1e6, float64(given)/float64(n*(len(key(0))+len(value(0)))), used.Seconds())
+		if err := db.close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// memory is the heap after a collection. What an engine holds outside of it (pebble's caches, bbolt's map) is not in it.
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// processor is the time that this process has used so far.
+func processor() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -102,10 +102,12 @@
 	return b[len(magic)-1]
 }
 
-func segmentName(n uint64) string { return fmt.Sprintf("%016x%s", n, suffix) }
+func fileName(n uint64, suffix string) string { return fmt.Sprintf("%016x%s", n, suffix) }
 
-// segmentNumber is that of a file's name; 0: it is no segment.
-func segmentNumber(name string) uint64 {
+func segmentName(n uint64) string { return fileName(n, suffix) }
+
+// fileNumber is that of a file's name; 0: it does not end so.
+func fileNumber(name, suffix string) uint64 {
 	digits, ok := strings.CutSuffix(name, suffix)
 	if !ok || len(digits) != 16 {
 		return 0
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
+	"log/slog"
 	"sync"
 	"time"
 )
@@ -15,15 +15,29 @@
 	// MaxBytes is of all segments; 256 MiB. Put fails with ErrFull beyond, Delete does not. While Compact runs, a copy of
 	// what counts comes on top.
 	MaxBytes int64
-	Now      func() time.Time // wall time
+	// SyncEvery above 0 confirms an entry once the operating system has it, and syncs at most so much later: entries
+	// survive the end of the process, but a loss of power may take the last ones. 0: each batch is synced first.
+	SyncEvery time.Duration
+	// Manual leaves it to the caller to call Maintain. Otherwise a goroutine does, whenever a segment is closed or the
+	// store is full, and every MaintainEvery.
+	Manual        bool
+	MaintainEvery time.Duration    // 10 s
+	Now           func() time.Time // wall time
+	Log           *slog.Logger     // what goes on in the background; nil: nowhere
 }
 
 const (
 	defaultSegment = 4 << 20
 	defaultMax     = 256 << 20
+	defaultEvery   = 10 * time.Second
 	// maxBatch and waitingOps bound what one sync makes durable, and what waits for the next.
 	maxBatch   = 1024
 	waitingOps = 1024
+	// laterOps bound what PutLater and DeleteLater have left to be written, and laterWait for how long.
+	laterOps  = 4096
+	laterWait = 100 * time.Millisecond
+	// unsyncedOps bound what SyncEvery leaves to be synced.
+	unsyncedOps = 4096
 )
 
 // The errors that callers may want to tell apart, beside those of the file system.
@@ -31,6 +45,9 @@
 	ErrClosed = errors.New("store: closed")
 	ErrFull   = errors.New("store: as large as it may be")
 	ErrSize   = errors.New("store: the key is empty, or key or value are too long")
+
+	errUnsynced = errors.New("store: too much could not be synced")
+	errChanged  = errors.New("it has changed on disk")
 )
 
 // Store may be used from any goroutine.
@@ -40,22 +57,30 @@
 	lock io.Closer
 
 	ops    chan op
+	later  chan op
 	closed chan struct{} // Close was called
 	ended  chan struct{} // the writer has
+	tidy   chan struct{} // there may be something to maintain
+	idle   chan struct{} // the maintainer has ended
 
 	compacting sync.Mutex
+	// The lock of compacting guards:
+	compacted int64      // bytes of all segments after the last compaction
+	doomed    []*segment // to be removed, in this order and before any other
 
 	mu       sync.RWMutex
 	index    map[string]place
 	segments map[uint64]*segment
 	damaged  int64
-	syncs    uint64
+	count    counters
 
 	// The writer's own.
-	active *segment // nil: the next batch makes one
-	next   uint64   // segment number
-	seq    uint64
-	buf    []byte
+	active   *segment // nil: the next batch makes one
+	next     uint64   // segment number
+	seq      uint64
+	buf      []byte
+	unsynced []op // confirmed and not synced yet, in order: of SyncEvery
+	rewrite  bool // some of them lie in a segment that was closed: syncing the next one does not make them durable
 }
 
 // place is where an entry's record lies.
@@ -72,13 +97,36 @@
 	number uint64
 	f      File
 	size   int64 // confirmed
+	sealed bool  // nothing more is written to it
+	hinted bool  // its hint file is there, or not worth another try
+
+	// Of the entries whose record lies in it:
+	entries     int
+	live        int64 // bytes
+	lastExpires int64 // the latest that any had, Unix ms
+}
+
+// holds counts an entry's record in.
+func (g *segment) holds(p place) {
+	g.entries++
+	g.live += int64(p.size)
+	g.lastExpires = max(g.lastExpires, p.expires)
 }
 
+// counters since the store was opened.
+type counters struct{ syncs, failures, compactions, dropped, lost uint64 }
+
 // op is what the writer is asked for: to write a record, or, with roll, to close the segment that it writes to.
 type op struct {
 	record
 	roll func(output uint64, sealed []*segment)
-	done chan error
+	done chan error // nil: nobody waits
+}
+
+func (o *op) end(err error) {
+	if o.done != nil {
+		o.done <- err
+	}
 }
 
 // Open opens the store in fs, and makes one where there is none. It reads all segments.
@@ -96,83 +144,26 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{fs: fs, o: o, lock: lock, ops: make(chan op, waitingOps), closed: make(chan struct{}), ended: make(chan struct{}),
-		index: map[string]place{}, segments: map[uint64]*segment{}, next: 1, seq: 1}
+	if o.MaintainEvery == 0 {
+		o.MaintainEvery = defaultEvery
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	s := &Store{fs: fs, o: o, lock: lock, ops: make(chan op, waitingOps), later: make(chan op, laterOps), closed: make(chan struct{}),
+		ended: make(chan struct{}), tidy: make(chan struct{}, 1), idle: make(chan struct{}), index: map[string]place{},
+		segments: map[uint64]*segment{}, next: 1, seq: 1}
 	if err := s.recover(); err != nil {
 		s.shut()
 		return nil, err
 	}
 	go s.write()
-	return s, nil
-}
-
-// recover reads all segments. One that holds no record is removed: a crash left it, and nothing in it was confirmed.
-func (s *Store) recover() error {
-	names, err := s.fs.List()
-	if err != nil {
-		return err
-	}
-	slices.Sort(names)
-	removed := map[string]uint64{} // deletes seen, by key
-	for _, name := range names {
-		n := segmentNumber(name)
-		if n == 0 {
-			continue
-		}
-		f, err := s.fs.Open(name)
-		if err != nil {
-			return fmt.Errorf("store: %s: %w", name, err)
-		}
-		s.next = max(s.next, n+1)
-		b, err := whole(f)
-		if err != nil {
-			f.Close()
-			return fmt.Errorf("store: %s: %w", name, err)
-		}
-		if v := version(b); v > 0 && v != magic[len(magic)-1] {
-			f.Close()
-			return fmt.Errorf("store: %s: format %d, this program knows %d", name, v, magic[len(magic)-1])
-		}
-		records := 0
-		end, damaged := scan(b, n, func(r record, offset, size int64) {
-			records++
-			s.seq = max(s.seq, r.seq+1)
-			if r.kind == remove {
-				removed[r.key] = max(removed[r.key], r.seq)
-				return
-			}
-			if old, ok := s.index[r.key]; !ok || old.seq < r.seq {
-				s.index[r.key] = place{r.seq, r.expires, n, offset, int32(size)}
-			}
-		})
-		s.damaged += damaged
-		if records == 0 && damaged == 0 {
-			f.Close()
-			if err := s.fs.Remove(name); err != nil {
-				return fmt.Errorf("store: %s: %w", name, err)
-			}
-			continue
-		}
-		s.segments[n] = &segment{n, f, end}
-	}
-	for key, seq := range removed {
-		if p, ok := s.index[key]; ok && p.seq < seq {
-			delete(s.index, key)
-		}
+	if o.Manual {
+		close(s.idle)
+	} else {
+		go s.maintain()
 	}
-	return nil
-}
-
-func whole(f File) ([]byte, error) {
-	size, err := f.Size()
-	if err != nil {
-		return nil, err
-	}
-	b := make([]byte, size)
-	if n, err := f.ReadAt(b, 0); int64(n) < size {
-		return nil, err
-	}
-	return b, nil
+	return s, nil
 }
 
 // Put makes an entry durable, in place of what its key had. It returns once it is, or says why it may not be.
@@ -191,6 +182,32 @@
 	return s.do(op{record: record{kind: remove, key: key}})
 }
 
+// PutLater and DeleteLater leave a change to be written with the next batch, within 100 ms, and do not block: it is
+// never confirmed. Of one key they go before what is asked for after them. false: too many wait, and nothing was done.
+func (s *Store) PutLater(key string, value []byte, expires time.Time) bool {
+	return key != "" && len(key) <= MaxKey && len(value) <= MaxValue &&
+		s.leave(op{record: record{kind: put, key: key, value: value, expires: expires.UnixMilli()}})
+}
+
+// DeleteLater is described at PutLater.
+func (s *Store) DeleteLater(key string) bool {
+	return key != "" && len(key) <= MaxKey && s.leave(op{record: record{kind: remove, key: key}})
+}
+
+func (s *Store) leave(o op) bool {
+	select {
+	case <-s.closed:
+		return false
+	default:
+	}
+	select {
+	case s.later <- o:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *Store) do(o op) error {
 	o.done = make(chan error, 1)
 	select {
@@ -236,12 +253,13 @@
 	}
 	r, ok := read(b, p.segment, p.offset)
 	if !ok {
-		return record{}, fmt.Errorf("store: %s: the record at %d has changed on disk", segmentName(p.segment), p.offset)
+		return record{}, fmt.Errorf("store: %s: the record at %d: %w", segmentName(p.segment), p.offset, errChanged)
 	}
 	return r, nil
 }
 
-// Each calls each with every entry that has not expired, in no order, until it returns false.
+// Each calls each with every entry that has not expired, in no order, until it returns false. An entry that the disk
+// has changed is left out, and counted as damaged.
 func (s *Store) Each(each func(key string, value []byte, expires time.Time) bool) error {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -251,6 +269,10 @@
 			continue
 		}
 		r, err := s.at(p)
+		if errors.Is(err, errChanged) {
+			s.o.Log.Error("store: an entry is lost", "err", err)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -263,24 +285,31 @@
 
 // Stats is how a store stands.
 type Stats struct {
-	Entries  int    // expired ones that Compact has not taken yet included
-	Segments int    //
-	Bytes    int64  // of all segments
-	Live     int64  // of them, records that count
-	Damaged  int64  // bytes between records that are none: the disk has changed them
-	Syncs    uint64 // since it was opened
+	Entries  int   `json:"entries"`  // expired ones whose place was not given back yet included
+	Segments int   `json:"segments"` //
+	Bytes    int64 `json:"bytes"`    // of all segments
+	Live     int64 `json:"live"`     // of them, records that count
+	Damaged  int64 `json:"damaged"`  // bytes that the disk has changed
+	Unsynced int   `json:"unsynced"` // entries that SyncEvery has confirmed and no sync yet
+
+	// Since it was opened:
+	Syncs       uint64 `json:"syncs"`
+	Failures    uint64 `json:"failures"`    // batches that could not be written or synced
+	Compactions uint64 `json:"compactions"` //
+	Dropped     uint64 `json:"dropped"`     // segments given back whole, since all in them had expired or was replaced
+	Lost        uint64 `json:"lost"`        // entries of SyncEvery whose sync failed and that could not be written again yet
 }
 
-// Stats returns it.
+// Stats returns it. It takes time in proportion to the segments, not to the entries.
 func (s *Store) Stats() Stats {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	st := Stats{Entries: len(s.index), Segments: len(s.segments), Damaged: s.damaged, Syncs: s.syncs}
+	c := s.count
+	st := Stats{Entries: len(s.index), Segments: len(s.segments), Damaged: s.damaged, Unsynced: len(s.unsynced), Syncs: c.syncs,
+		Failures: c.failures, Compactions: c.compactions, Dropped: c.dropped, Lost: c.lost}
 	for _, g := range s.segments {
 		st.Bytes += g.size
-	}
-	for _, p := range s.index {
-		st.Live += int64(p.size)
+		st.Live += g.live
 	}
 	return st
 }
@@ -288,14 +317,16 @@
 // Close waits for what was asked for, and lets the store go.
 func (s *Store) Close() error {
 	s.compacting.Lock()
-	defer s.compacting.Unlock()
 	select {
 	case <-s.closed:
+		s.compacting.Unlock()
 		return nil
 	default:
 	}
 	close(s.closed)
+	s.compacting.Unlock()
 	<-s.ended
+	<-s.idle
 	return s.shut()
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -33,7 +33,7 @@
 func TestRestart(t *testing.T) {
 	path := t.TempDir()
 	now := epoch
-	o := store.Options{SegmentSize: 4096, Now: func() time.Time { return now }}
+	o := store.Options{SegmentSize: 4096, Manual: true, Now: func() time.Time { return now }}
 	s := open(t, path, o)
 	for i := range 300 {
 		if err := s.Put(fmt.Sprint("k", i%100), fmt.Append(nil, i), now.Add(time.Duration(i)*time.Second)); err != nil {
@@ -125,7 +125,7 @@
 }
 
 func TestBounds(t *testing.T) {
-	s, err := store.Open(faultfs.New(), store.Options{SegmentSize: 1 << 10, MaxBytes: 4 << 10, Now: func() time.Time { return epoch }})
+	s, err := store.Open(faultfs.New(), store.Options{SegmentSize: 1 << 10, MaxBytes: 4 << 10, Manual: true, Now: func() time.Time { return epoch }})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -1,40 +1,93 @@
 package store
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // The writer: one goroutine that makes batches durable, each with one write and one sync.
 
 func (s *Store) write() {
 	defer close(s.ended)
+	sync := time.NewTimer(time.Hour)
+	sync.Stop()
+	defer sync.Stop()
+	late := time.NewTimer(time.Hour) // for what was left for later
+	late.Stop()
+	defer late.Stop()
 	for {
 		var batch []op
 		select {
 		case o := <-s.ops:
-			batch = append(batch, o)
+			batch = s.gather(nil, o)
+		case o := <-s.later:
+			// Others may come meanwhile: who waits for a batch takes them along.
+			late.Reset(laterWait)
+			batch = []op{o}
+			select {
+			case <-late.C:
+				batch = s.left(batch)
+			case o := <-s.ops:
+				late.Stop()
+				batch = s.gather(batch, o)
+			case <-s.closed:
+			}
+		case <-sync.C:
+			s.sync()
+			if len(s.unsynced) > 0 { // it failed, and writing it again did too
+				sync.Reset(s.o.SyncEvery)
+			}
+			continue
 		case <-s.closed:
 			select {
 			case o := <-s.ops: // asked for before
-				batch = append(batch, o)
+				batch = s.gather(nil, o)
+			case o := <-s.later:
+				batch = s.left([]op{o})
 			default:
+				s.sync()
 				return
 			}
 		}
-		for len(batch) < maxBatch && batch[len(batch)-1].roll == nil {
-			select {
-			case o := <-s.ops:
-				batch = append(batch, o)
-				continue
-			default:
-			}
-			break
-		}
+		before := len(s.unsynced)
 		if last := batch[len(batch)-1]; last.roll != nil {
 			s.commit(batch[:len(batch)-1])
 			s.seal(last)
+		} else {
+			s.commit(batch)
+		}
+		if before == 0 && len(s.unsynced) > 0 {
+			sync.Reset(s.o.SyncEvery)
+		}
+	}
+}
+
+// left appends all that was left for later.
+func (s *Store) left(batch []op) []op {
+	for {
+		select {
+		case o := <-s.later:
+			batch = append(batch, o)
+		default:
+			return batch
+		}
+	}
+}
+
+// gather makes a batch of what was left for later, the first that somebody waits for, and all others that wait, up to
+// a roll. Of one key, what was left for later was asked for earlier.
+func (s *Store) gather(later []op, first op) []op {
+	batch := append(s.left(later), first)
+	for n := 1; n < maxBatch && batch[len(batch)-1].roll == nil; n++ {
+		select {
+		case o := <-s.ops:
+			batch = append(batch, o)
 			continue
+		default:
 		}
-		s.commit(batch)
+		break
 	}
+	return batch
 }
 
 // commit makes a batch durable and answers all of it. What cannot be written fails as a whole, but for what is turned
@@ -43,7 +96,8 @@
 	size := s.size()
 	batch = slices.DeleteFunc(batch, func(o op) bool {
 		if o.kind == put && size+o.size() > s.o.MaxBytes {
-			o.done <- ErrFull
+			o.end(ErrFull)
+			s.wanted()
 			return true
 		}
 		size += o.size()
@@ -52,61 +106,156 @@
 	if len(batch) == 0 {
 		return
 	}
+	if len(s.unsynced) > 0 && (s.full() || len(s.unsynced) >= unsyncedOps) {
+		s.sync()
+	}
+	var err error = errUnsynced
+	if len(s.unsynced) < unsyncedOps {
+		err = s.append(batch, s.o.SyncEvery == 0)
+	}
+	for i := range batch {
+		batch[i].end(err)
+	}
+	if err == nil && s.o.SyncEvery > 0 {
+		s.mu.Lock()
+		s.unsynced = append(s.unsynced, batch...)
+		s.mu.Unlock()
+	}
+}
+
+// append writes a batch, with sync also syncs it, and then takes it into the index.
+func (s *Store) append(batch []op, sync bool) error {
 	err := s.room()
+	if err != nil {
+		s.failed()
+		return err
+	}
 	var places []place
-	if err == nil {
-		s.buf = s.buf[:0]
-		for i := range batch {
-			r := &batch[i].record
-			r.seq = s.seq
-			s.seq++
-			offset := s.active.size + int64(len(s.buf))
-			s.buf = r.add(s.buf, s.active.number, offset)
-			places = append(places, place{r.seq, r.expires, s.active.number, offset, int32(r.size())})
-		}
-		err = s.append()
+	g := s.active
+	s.buf = s.buf[:0]
+	for i := range batch {
+		r := &batch[i].record
+		r.seq = s.seq
+		s.seq++
+		offset := g.size + int64(len(s.buf))
+		s.buf = r.add(s.buf, g.number, offset)
+		places = append(places, place{r.seq, r.expires, g.number, offset, int32(r.size())})
 	}
-	if err == nil {
-		s.mu.Lock()
-		s.active.size += int64(len(s.buf))
-		for i, o := range batch {
-			if o.kind == put {
-				s.index[o.key] = places[i]
-			} else {
-				delete(s.index, o.key)
+	if _, err = g.f.Write(s.buf); err == nil && sync {
+		err = s.syncActive()
+	}
+	if err != nil {
+		// What lies behind what was confirmed may or may not be on the disk, and a later sync would not tell.
+		s.failed()
+		g.f.Truncate(g.size) // as far as it goes: recovery knows what is no record
+		s.close()
+		if g.size == headerSize { // guards against a segment for each try while the disk fails
+			if s.fs.Remove(segmentName(g.number)) == nil { // else a compaction takes it, in its turn
+				s.mu.Lock()
+				delete(s.segments, g.number)
+				s.mu.Unlock()
+				g.f.Close()
 			}
 		}
-		s.mu.Unlock()
+		return err
 	}
-	s.buf = s.buf[:0]
-	for _, o := range batch {
-		o.done <- err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.size += int64(len(s.buf))
+	for i, o := range batch {
+		if old, ok := s.index[o.key]; ok {
+			x := s.segments[old.segment]
+			x.entries--
+			x.live -= int64(old.size)
+		}
+		if o.kind == put {
+			s.index[o.key] = places[i]
+			g.holds(places[i])
+		} else {
+			delete(s.index, o.key)
+		}
 	}
+	return nil
 }
 
-// append writes and syncs the buffer. After a failure the segment is closed at what was confirmed: what lies behind may
-// or may not be on the disk, and a later sync would not tell.
-func (s *Store) append() error {
-	_, err := s.active.f.Write(s.buf)
-	if err == nil {
-		err = s.active.f.Sync()
-		s.mu.Lock()
-		s.syncs++
-		s.mu.Unlock()
+func (s *Store) failed() {
+	s.mu.Lock()
+	s.count.failures++
+	s.mu.Unlock()
+}
+
+func (s *Store) syncActive() error {
+	err := s.active.f.Sync()
+	s.mu.Lock()
+	s.count.syncs++
+	s.mu.Unlock()
+	return err
+}
+
+// sync makes durable what SyncEvery has confirmed before. After a failure nothing of it counts as durable in its
+// segment: it is written again, to a new one. Nothing is lost while the process lives; what could not be written is
+// tried again.
+func (s *Store) sync() {
+	if len(s.unsynced) == 0 {
+		return
 	}
-	if err != nil {
-		s.active.f.Truncate(s.active.size) // as far as it goes: recovery knows what is no record
-		s.active = nil
+	if s.active != nil && !s.rewrite {
+		if s.syncActive() == nil {
+			s.synced()
+			return
+		}
+		s.failed()
+		s.close()
 	}
-	return err
+	if s.append(latest(s.unsynced), true) == nil {
+		s.synced()
+		return
+	}
+	s.mu.Lock()
+	s.count.lost = uint64(len(s.unsynced))
+	s.mu.Unlock()
+}
+
+// latest is the last of each key, in order. Guards against a crash in the middle of writing them again: an older one that
+// got through would have a higher sequence than the newer one that had been written before.
+func latest(ops []op) []op {
+	seen := map[string]bool{}
+	var out []op
+	for _, o := range slices.Backward(ops) {
+		if !seen[o.key] {
+			seen[o.key] = true
+			out = append(out, o)
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
+func (s *Store) synced() {
+	s.mu.Lock()
+	s.unsynced, s.rewrite, s.count.lost = nil, false, 0
+	s.mu.Unlock()
+}
+
+// close lets the segment that is written to be one of the closed.
+func (s *Store) close() {
+	if s.active == nil {
+		return
+	}
+	s.mu.Lock()
+	s.active.sealed = true
+	s.mu.Unlock()
+	s.rewrite = s.rewrite || len(s.unsynced) > 0
+	s.active = nil
+	s.wanted()
 }
 
 // room sees to it that there is a segment to write to.
 func (s *Store) room() error {
-	if s.active != nil && s.active.size < s.o.SegmentSize {
+	if s.active != nil && !s.full() {
 		return nil
 	}
-	s.active = nil
+	s.close()
 	s.next++ // whatever becomes of it: what is left of a failed one is not written to
 	g, err := s.create(s.next - 1)
 	if err != nil {
@@ -119,6 +268,9 @@
 	return nil
 }
 
+// full says that the next batch goes to a new segment.
+func (s *Store) full() bool { return s.active != nil && s.active.size >= s.o.SegmentSize }
+
 // create makes a segment whose header and name are durable. What is left of one that failed is removed, as far as that
 // goes.
 func (s *Store) create(n uint64) (*segment, error) {
@@ -136,7 +288,7 @@
 		s.fs.Remove(segmentName(n))
 		return nil, err
 	}
-	return &segment{n, f, headerSize}, nil
+	return &segment{number: n, f: f, size: headerSize}, nil
 }
 
 func (s *Store) size() (sum int64) {
@@ -151,16 +303,14 @@
 // seal closes the segment that is written to, and tells who compacts which there are, and the number for its own: the
 // next one that is written to has a higher one.
 func (s *Store) seal(o op) {
-	s.active = nil
+	s.sync()
+	if len(s.unsynced) > 0 {
+		o.end(errUnsynced)
+		return
+	}
+	s.close()
 	output := s.next
 	s.next++
-	s.mu.RLock()
-	var sealed []*segment
-	for _, g := range s.segments {
-		sealed = append(sealed, g)
-	}
-	s.mu.RUnlock()
-	slices.SortFunc(sealed, func(a, b *segment) int { return int(int64(a.number) - int64(b.number)) })
-	o.roll(output, sealed)
-	o.done <- nil
+	o.roll(output, s.sealed())
+	o.end(nil)
 }
