The ledger of effects: what may have run survives a restart

A daemon that was killed forgot which unsafe and keyed requests may have run, and a client's retry with the same key could reach a second group of nodes.

internal/ledger decides, without I/O: an unsafe fingerprint goes out once unless it is proved never to have run, a keyed one only in its group and window, on a line of time that survives restarts and clocks that are set back. internal/ledger/guard puts it before the engine and before each attempt, and on the store; the engine's loop never waits for the disk. The module takes earlier attempts of the same effect (balancer.Request.Earlier). internal/operator reads the operator's file, strictly; hazelwing check, store and the admin endpoint are new. Off without a file.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -125,6 +125,16 @@
 	Key               string        // what the request is about; may be absent
 	Expires           time.Duration // clock time
 	Hint              time.Duration // expected work; 0: unknown
+	// Earlier are attempts of earlier requests with the same effect that may have run. Nil for all but keyed ones: one
+	// that may have run somewhere is tried again in that group only, and while its window lasts, as its own attempts are.
+	Earlier []Earlier
+}
+
+// Earlier is an attempt of another request that may have run.
+type Earlier struct {
+	Zone string
+	Cell int
+	Sent time.Duration // clock time
 }
 
 // FirstByte says that a streamed answer has begun.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -135,7 +135,8 @@
 		b.act(Action{Kind: Refuse, ID: e.ID})
 		return
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, cost: b.cost(c, e.Hint)}
+	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, earlier: e.Earlier,
+		cost: b.cost(c, e.Hint)}
 	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
 	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
 	r.aim = b.now + min(aim, c.Deadline)
@@ -207,19 +208,31 @@
 		return false
 	}
 	for _, a := range r.attempts {
-		if a.mayRun && r.class.Effect == Keyed && (r.class.Group == GroupZone && a.zone != u.zone ||
-			r.class.Group == GroupCell && a.cell != u.cell) {
+		if a.mayRun && r.class.outside(a.zone, a.cell, u) {
+			return false
+		}
+	}
+	for _, a := range r.earlier {
+		if r.class.outside(a.Zone, a.Cell, u) {
 			return false
 		}
 	}
 	return b.coldAllows(u)
 }
 
+// outside: u does not share the memory of repeats with where an attempt went.
+func (c *class) outside(zone string, cell int, u *upstream) bool {
+	return c.Effect == Keyed &&
+		(c.Group == GroupZone && zone != u.zone || c.Group == GroupCell && cell != u.cell)
+}
+
 // stuck: an attempt may have run, and nothing may follow it any more.
 func (b *Balancer) stuck(r *request) bool {
-	return r.class.Effect != Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		return a.mayRun && (r.class.Effect == Unsafe || b.now-a.sent > r.class.Window-2*b.set.Tick)
-	})
+	over := func(sent time.Duration) bool {
+		return r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now-sent > r.class.Window-2*b.set.Tick
+	}
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun && over(a.sent) }) ||
+		slices.ContainsFunc(r.earlier, func(a Earlier) bool { return over(a.Sent) })
 }
 
 // mayRefuse: a refusal tells the client that trying again is harmless.
@@ -227,7 +240,7 @@
 	if r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
 		return true
 	}
-	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun })
+	return len(r.earlier) == 0 && !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun })
 }
 
 // send starts the next attempt. Its caller asked mayTry, through pick.
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -322,3 +323,46 @@
 		t.Errorf("after its return: %+v", u)
 	}
 }
+
+// What an earlier request with the same effect may have done binds this one as its own attempts would: to its group and
+// window, and never to a refusal.
+func TestEarlierAttempts(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect  Effect
+		group   Group
+		earlier []Earlier
+		sends   string
+		final   ActionKind
+	}{
+		"none":            {Keyed, GroupZone, nil, "abc", Refuse},
+		"its zone":        {Keyed, GroupZone, []Earlier{{Zone: "b", Sent: time.Minute}}, "b", Fail},
+		"its cell":        {Keyed, GroupCell, []Earlier{{Cell: 2, Sent: time.Minute}}, "c", Fail},
+		"all":             {Keyed, GroupAll, []Earlier{{Zone: "b", Sent: time.Minute}}, "abc", Refuse},
+		"two zones":       {Keyed, GroupZone, []Earlier{{Zone: "a", Sent: time.Minute}, {Zone: "b", Sent: time.Minute}}, "", Fail},
+		"window over":     {Keyed, GroupZone, []Earlier{{Zone: "b", Sent: time.Minute - time.Second}}, "", Fail},
+		"a zone now gone": {Keyed, GroupZone, []Earlier{{Zone: "z", Sent: time.Minute}}, "", Fail},
+		"unsafe":          {Unsafe, GroupAll, []Earlier{{Zone: "b", Sent: time.Minute}}, "", Fail},
+		"safe":            {Safe, GroupAll, []Earlier{{Zone: "b", Sent: 0}}, "abc", Refuse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := keyed(c.group)
+			s.Classes[0].Effect = c.effect
+			r := newRig(t, s)
+			r.list(Full, Member{Upstream: "a", Zone: "a", Cell: 0}, Member{Upstream: "b", Zone: "b", Cell: 1}, Member{Upstream: "c", Zone: "c", Cell: 2})
+			acts := r.do(Request{ID: "1", Class: "k", Expires: r.now + 500*ms, Earlier: c.earlier})
+			for n := 0; len(finals(acts)) == 0 && n < 1000; n++ {
+				sent := kinds(acts, Send)
+				for _, a := range sent {
+					if !strings.Contains(c.sends, a.Upstream) {
+						t.Errorf("sent to %s", a.Upstream)
+					}
+					acts = r.result("1", len(r.b.reqs["1"].attempts)-1, Overloaded, ms)
+				}
+				if len(sent) == 0 {
+					acts = r.pass(5 * ms)
+				}
+			}
+			r.wantFinal(acts, c.final)
+		})
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -66,6 +66,7 @@
 	aim      time.Duration // clock time
 	end      time.Duration // clock time at which we give up
 	cost     float64       // expected work, relative to the mean request
+	earlier  []Earlier
 	attempts []*attempt
 	out      int
 	stale    bool // a repeat whose aim has passed
--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -24,11 +24,11 @@
 		Short:         "A client-side load balancer",
 		Long:          "hazelwing balances requests on the client's side. Without a command it is the daemon, as with \"run\".",
 		Args:          cobra.NoArgs,
-		RunE:          func(*cobra.Command, []string) error { return run() },
+		RunE:          func(*cobra.Command, []string) error { return run(os.Getenv(operatorVariable)) },
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), demoCommand(), trafficCommand())
+	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand())
 	return c
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,14 +4,19 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
 	"sync"
 
+	"hazelwing/internal/admin"
 	"hazelwing/internal/engine"
 	"hazelwing/internal/front/httpfront"
+	"hazelwing/internal/ledger/guard"
 	"hazelwing/internal/membership/watch"
+	"hazelwing/internal/operator"
 	"hazelwing/internal/platform"
 	"hazelwing/internal/transport/http1"
 )
@@ -21,10 +26,12 @@
 	engine *engine.Engine
 	pool   *http1.Pool
 	front  *httpfront.Server
+	guard  *guard.Guard // nil: there is no ledger of effects
+	admin  net.Listener // nil: there is no endpoint
 	log    *slog.Logger
 }
 
-func build(cfg *platform.Config, log *slog.Logger) (*sidecar, error) {
+func build(cfg *platform.Config, op *operator.Config, log *slog.Logger) (_ *sidecar, err error) {
 	set := cfg.Settings.Settings()
 	pool := http1.New(http1.Config{Connect: set.ConnectTimeout, Idle: cfg.Settings.ConnIdle(),
 		Grace: cfg.Settings.DrainGrace(), Conns: cfg.Limits.UpstreamConns(), Answer: cfg.Limits.Answer()})
@@ -32,21 +39,71 @@
 	if odd != nil {
 		log.Warn("an entry of the list", "err", odd)
 	}
-	e, err := engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: pool,
+	s := &sidecar{pool: pool, log: log}
+	defer func() {
+		if err != nil {
+			s.close()
+		}
+	}()
+	if op.Ledger != nil {
+		if s.guard, err = openLedger(op.Ledger, set, log); err != nil {
+			return nil, err
+		}
+	}
+	if op.Admin != nil {
+		if s.admin, err = net.Listen("tcp", op.Admin.Listen); err != nil {
+			return nil, fmt.Errorf("admin.listen: %w", err)
+		}
+	}
+	var transport engine.Transport = pool
+	if s.guard != nil {
+		transport = s.guard.Transport(pool)
+	}
+	s.engine, err = engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: transport,
 		Source: watch.New(cfg.Discovery, log), Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
 	if err != nil {
 		return nil, err
 	}
-	return &sidecar{engine: e, pool: pool, front: httpfront.New(e, set.Classes), log: log}, nil
+	var doer httpfront.Doer = s.engine
+	if s.guard != nil {
+		doer = s.guard.Doer(s.engine)
+	}
+	s.front = httpfront.New(doer, set.Classes)
+	if s.guard != nil {
+		s.front.TakeKeys()
+	}
+	return s, nil
 }
 
-// Run serves until ctx ends, and then until everything that was taken is answered. For each signal in reload it calls
-// again for the configuration.
-func Run(ctx context.Context, cfg *platform.Config, reload <-chan os.Signal, again func() (*platform.Config, error), log *slog.Logger) error {
-	s, err := build(cfg, log)
+// close lets go what the operator's file has asked for. The engine has ended.
+func (s *sidecar) close() error {
+	var err error
+	if s.guard != nil {
+		err = s.guard.Close()
+	}
+	if s.admin != nil {
+		s.admin.Close()
+	}
+	return err
+}
+
+// parts are what the admin endpoint shows.
+func (s *sidecar) parts() admin.Parts {
+	p := admin.Parts{}
+	if s.guard != nil {
+		p["ledger"] = func() any { return s.guard.State() }
+	}
+	return p
+}
+
+// Run serves until ctx ends, and then until everything that was taken is answered. op is the operator's file; an empty
+// one is none. For each signal in reload it calls again for the platform's configuration.
+func Run(ctx context.Context, cfg *platform.Config, op *operator.Config, reload <-chan os.Signal, again func() (*platform.Config, error), log *slog.Logger) (err error) {
+	s, err := build(cfg, op, log)
 	if err != nil {
 		return err
 	}
+	defer func() { err = errors.Join(err, s.close()) }()
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return err
@@ -56,6 +113,9 @@
 	parts.Go(func() { s.pool.Sweep(work) })
 	parts.Go(func() { s.engine.Run(work) })
 	parts.Go(func() { s.reloads(work, reload, again) })
+	if s.admin != nil {
+		parts.Go(func() { admin.Serve(work, s.admin, s.parts(), log) })
+	}
 	defer parts.Wait()
 	defer end()
 	return s.front.Serve(ctx, listener, cfg.Limits.ClientConns(), log)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hazelwing/internal/daemon"
+	"hazelwing/internal/operator"
 	"hazelwing/internal/platform"
 	"hazelwing/internal/standin"
 )
@@ -159,7 +160,9 @@
 		return "", nil, err
 	}
 	ended = make(chan error, 1)
-	go func() { ended <- daemon.Run(ctx, cfg, nil, nil, slog.New(slog.NewTextHandler(log, nil))) }()
+	go func() {
+		ended <- daemon.Run(ctx, cfg, new(operator.Config), nil, nil, slog.New(slog.NewTextHandler(log, nil)))
+	}()
 	return addr, ended, ready(ctx, addr)
 }
 
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -12,8 +12,12 @@
 	ID     string // tells it from all others in hand
 	Class  string // one of the settings' classes
 	Tenant string
-	Key    string        // what it is about (affinity); may be absent
-	Hint   time.Duration // expected work; 0: unknown
+	Key    string // what it is about (affinity); may be absent
+	// Identity is the same in all requests for one effect, whatever their ID: a client's key. It may be absent.
+	Identity string
+	// Earlier is where attempts of others with its identity may have run; see balancer.Request.
+	Earlier []Earlier
+	Hint    time.Duration // expected work; 0: unknown
 	// Expires is when the client stops waiting. The Result comes before it, by twice the settings' Tick.
 	Expires time.Time
 	// Payload is for the transport alone. Several attempts may read it at the same time: nobody changes it.
@@ -31,6 +35,13 @@
 	lastAns  any
 }
 
+// Earlier is an attempt of another call that may have run.
+type Earlier struct {
+	Zone string
+	Cell int
+	Sent time.Time
+}
+
 // attempt is a Call's attempt, from its Send to its outcome.
 type attempt struct {
 	exchange Exchange
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -252,8 +252,11 @@
 		e.beat.Reset(beatEvery)
 	}
 	e.calls[c.ID] = c
-	e.handle(balancer.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key,
-		Expires: e.clock.at(c.Expires), Hint: c.Hint})
+	r := balancer.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Expires: e.clock.at(c.Expires), Hint: c.Hint}
+	for _, x := range c.Earlier {
+		r.Earlier = append(r.Earlier, balancer.Earlier{Zone: x.Zone, Cell: x.Cell, Sent: e.clock.at(x.Sent)})
+	}
+	e.handle(r)
 }
 
 func (e *Engine) gone(c *Call) {
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -51,6 +51,7 @@
 	effects  map[string]balancer.Effect // by class
 	longest  time.Duration              // deadline of a class: what a client says beyond it is cut
 	open     time.Duration              // how long connections are expected after the stop
+	keys     bool                       // unsafe requests may bring a key
 	stopping atomic.Bool
 }
 
@@ -64,6 +65,10 @@
 	return s
 }
 
+// TakeKeys lets unsafe requests bring an Idempotency-Key, for an engine that knows their repeats by it. Call it before
+// Serve. Without it such a request is turned down, as on the platform.
+func (s *Server) TakeKeys() { s.keys = true }
+
 // Serve serves what comes to l until ctx ends, and then until everything that was taken is answered. It holds at most
 // conns connections; where more come, those that have waited longest with no request open are closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener, conns int, log *slog.Logger) error {
@@ -168,7 +173,7 @@
 		return nil, plain(http.StatusBadRequest, httpmsg.IDHeader+" is missing")
 	case effect == balancer.Safe && r.Method != http.MethodGet, effect != balancer.Safe && r.Method != http.MethodPost:
 		return nil, plain(http.StatusMethodNotAllowed, "not the method of this class")
-	case effect == balancer.Keyed != (r.Header.Get(httpmsg.KeyHeader) != ""):
+	case effect == balancer.Keyed != (r.Header.Get(httpmsg.KeyHeader) != "") && !(s.keys && effect == balancer.Unsafe):
 		return nil, plain(http.StatusBadRequest, httpmsg.KeyHeader+" goes with the classes that have a key")
 	}
 	wait, err := strconv.ParseUint(r.Header.Get(httpmsg.DeadlineHeader), 10, 63)
@@ -176,7 +181,8 @@
 		return nil, plain(http.StatusBadRequest, httpmsg.DeadlineHeader+" is not a positive whole number")
 	}
 	c := &engine.Call{ID: r.Header.Get(httpmsg.IDHeader), Class: class, Tenant: r.Header.Get(httpmsg.TenantHeader),
-		Expires: came.Add(time.Duration(min(int64(wait), s.longest.Milliseconds())) * time.Millisecond)}
+		Identity: r.Header.Get(httpmsg.KeyHeader),
+		Expires:  came.Add(time.Duration(min(int64(wait), s.longest.Milliseconds())) * time.Millisecond)}
 	message := &httpmsg.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: httpmsg.Onward(r.Header)}
 	c.Payload = message
 	if cookie, err := r.Cookie(httpmsg.KeyCookie); err == nil {
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,269 @@
+// Package operator reads the operator's file: what is set beyond the platform's configuration. All of it is off where
+// there is no file. An unknown key, a value of another kind and one that cannot be used are errors that name the file,
+// the line and the column; docs/operators/configuration.md describes each key.
+package operator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"hazelwing/internal/ledger/guard"
+)
+
+// Config is what the file says; nil tables are off.
+type Config struct {
+	Ledger *Ledger `toml:"ledger"`
+	Admin  *Admin  `toml:"admin"`
+}
+
+// Ledger is the ledger of effects.
+type Ledger struct {
+	Dir         string           `toml:"dir"`
+	Durable     guard.Durability `toml:"durable"`
+	SyncEvery   Duration         `toml:"sync_every"`
+	OnFailure   guard.Trouble    `toml:"on_failure"`
+	Remember    Duration         `toml:"remember"`
+	MaxEntries  int64            `toml:"max_entries"`
+	SegmentSize Size             `toml:"segment_size"`
+	MaxSize     Size             `toml:"max_size"`
+}
+
+// Admin is the endpoint for operators.
+type Admin struct {
+	Listen string `toml:"listen"`
+}
+
+// The defaults, and the bounds of what can be set.
+const (
+	defaultSync     = 100 * time.Millisecond
+	defaultRemember = 10 * time.Minute
+	defaultEntries  = 100_000
+	defaultSegment  = 4 << 20
+	defaultMax      = 256 << 20
+
+	mostSync      = 10 * time.Second
+	leastRemember = 10 * time.Second
+	mostRemember  = 7 * 24 * time.Hour
+	leastEntries  = 100
+	mostEntries   = 10_000_000
+	leastSegment  = 64 << 10
+	mostSegment   = 256 << 20
+	leastSegments = 8 // max_size is at least so many segments
+	mostSize      = 64 << 30
+)
+
+// Duration is written as Go writes it: "100ms", "10m".
+type Duration time.Duration
+
+// UnmarshalText reads one.
+func (d *Duration) UnmarshalText(text []byte) error {
+	x, err := time.ParseDuration(string(text))
+	*d = Duration(x)
+	if err != nil {
+		return fmt.Errorf("%q is no time such as \"100ms\" or \"10m\"", text)
+	}
+	return nil
+}
+
+// Size is a number of bytes, written as "4MiB".
+type Size int64
+
+var sizeForm = regexp.MustCompile(`^([0-9]{1,12})(B|KiB|MiB|GiB)$`)
+
+// UnmarshalText reads one.
+func (s *Size) UnmarshalText(text []byte) error {
+	m := sizeForm.FindStringSubmatch(string(text))
+	if m == nil {
+		return fmt.Errorf("%q is no size such as \"64KiB\", \"4MiB\" or \"1GiB\"", text)
+	}
+	n, _ := strconv.ParseInt(m[1], 10, 64)
+	shift := map[string]int{"B": 0, "KiB": 10, "MiB": 20, "GiB": 30}[m[2]]
+	if n > math.MaxInt64>>shift {
+		return fmt.Errorf("%q is too large", text)
+	}
+	*s = Size(n << shift)
+	return nil
+}
+
+// Load reads a file.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		var lines []string
+		for _, e := range unwrap(err) {
+			lines = append(lines, fmt.Sprintf("%s:%v", path, e))
+		}
+		return nil, errors.New(strings.Join(lines, "\n"))
+	}
+	return c, nil
+}
+
+// Fault is what is wrong at a place.
+type Fault struct {
+	Line, Column int
+	Text         string
+}
+
+func (f Fault) Error() string { return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text) }
+
+func unwrap(err error) []error {
+	if list, ok := err.(interface{ Unwrap() []error }); ok {
+		return list.Unwrap()
+	}
+	return []error{err}
+}
+
+// Parse reads a file's text. Its error joins Faults.
+func Parse(text []byte) (*Config, error) {
+	c := new(Config)
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(c)
+	var one *toml.DecodeError
+	var missing *toml.StrictMissingError
+	switch {
+	case errors.As(err, &missing):
+		var all []error
+		for i := range missing.Errors {
+			line, column := missing.Errors[i].Position()
+			all = append(all, Fault{line, column, "no such key: " + strings.Join(missing.Errors[i].Key(), ".")})
+		}
+		return nil, errors.Join(all...)
+	case errors.As(err, &one):
+		line, column := one.Position()
+		return nil, errors.Join(Fault{line, column, strings.TrimPrefix(one.Error(), "toml: ")})
+	case err != nil:
+		return nil, errors.Join(Fault{1, 1, err.Error()})
+	}
+	var all []error
+	where := places(text)
+	c.check(func(key, format string, args ...any) {
+		at, ok := where[key]
+		if !ok { // a key that is not there: its table is
+			table, _, _ := strings.Cut(key, ".")
+			at = where[table]
+		}
+		all = append(all, Fault{at.Line, at.Column, key + ": " + fmt.Sprintf(format, args...)})
+	})
+	if len(all) > 0 {
+		return nil, errors.Join(all...)
+	}
+	return c, nil
+}
+
+// places are where each key and table of a text begins, by its dotted name.
+func places(text []byte) map[string]unstable.Position {
+	out := map[string]unstable.Position{}
+	var p unstable.Parser
+	p.Reset(text)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		if e.Kind != unstable.Table && e.Kind != unstable.KeyValue {
+			continue
+		}
+		var words []string
+		var at unstable.Position
+		for k := e.Key(); k.Next(); {
+			if len(words) == 0 {
+				at = p.Shape(k.Node().Raw).Start
+			}
+			words = append(words, string(k.Node().Data))
+		}
+		name := strings.Join(words, ".")
+		if e.Kind == unstable.Table {
+			table = name + "."
+		} else {
+			name = table + name
+		}
+		out[name] = at
+	}
+	return out
+}
+
+// check fills in the defaults and tells what cannot be used.
+func (c *Config) check(fault func(key, format string, args ...any)) {
+	if l := c.Ledger; l != nil {
+		l.check(fault)
+	}
+	if a := c.Admin; a != nil {
+		at, err := netip.ParseAddrPort(a.Listen)
+		switch {
+		case err != nil:
+			fault("admin.listen", "%q is no address such as \"127.0.0.1:9180\"", a.Listen)
+		case !at.Addr().IsLoopback():
+			fault("admin.listen", "%s is not on loopback: the endpoint asks nobody who they are", a.Listen)
+		}
+	}
+}
+
+func (l *Ledger) check(fault func(key, format string, args ...any)) {
+	def := func(d *Duration, to time.Duration) {
+		if *d == 0 {
+			*d = Duration(to)
+		}
+	}
+	between := func(key string, v, least, most any, ok bool) {
+		if !ok {
+			fault(key, "%v is not from %v to %v", v, least, most)
+		}
+	}
+	switch l.Durable {
+	case "":
+		l.Durable = guard.Always
+	case guard.Always, guard.Batch, guard.Off:
+	default:
+		fault("ledger.durable", "%q is not \"always\", \"batch\" or \"off\"", l.Durable)
+	}
+	switch l.OnFailure {
+	case "":
+		l.OnFailure = guard.Refuse
+	case guard.Refuse, guard.Continue:
+	default:
+		fault("ledger.on_failure", "%q is not \"refuse\" or \"continue\"", l.OnFailure)
+	}
+	switch {
+	case l.Durable == guard.Off && l.Dir != "":
+		fault("ledger.dir", "is of no use where durable is \"off\"")
+	case l.Durable != guard.Off && !filepath.IsAbs(l.Dir):
+		fault("ledger.dir", "%q is no absolute path", l.Dir)
+	}
+	if l.SyncEvery != 0 && l.Durable != guard.Batch {
+		fault("ledger.sync_every", "goes with durable = \"batch\"")
+	}
+	def(&l.SyncEvery, defaultSync)
+	def(&l.Remember, defaultRemember)
+	if l.MaxEntries == 0 {
+		l.MaxEntries = defaultEntries
+	}
+	if l.SegmentSize == 0 {
+		l.SegmentSize = defaultSegment
+	}
+	if l.MaxSize == 0 {
+		l.MaxSize = max(defaultMax, leastSegments*l.SegmentSize)
+	}
+	d, r := time.Duration(l.SyncEvery), time.Duration(l.Remember)
+	between("ledger.sync_every", d, time.Millisecond, mostSync, d >= time.Millisecond && d <= mostSync)
+	between("ledger.remember", r, leastRemember, mostRemember, r >= leastRemember && r <= mostRemember)
+	between("ledger.max_entries", l.MaxEntries, leastEntries, mostEntries, l.MaxEntries >= leastEntries && l.MaxEntries <= mostEntries)
+	between("ledger.segment_size", l.SegmentSize, "64KiB", "256MiB", l.SegmentSize >= leastSegment && l.SegmentSize <= mostSegment)
+	between("ledger.max_size", l.MaxSize, "8 segments", "64GiB", l.MaxSize >= leastSegments*l.SegmentSize && l.MaxSize <= mostSize)
+}
+
+// Loopback listens at an address that was checked.
+func (a *Admin) Loopback() (net.Listener, error) { return net.Listen("tcp", a.Listen) }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/internal/ledger/guard"
+)
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte("[ledger]\ndir = \"/var/lib/x\"\ndurable = \"batch\"\nsync_every = \"20ms\"\nremember = \"2m\"\nmax_size = \"1GiB\"\n[admin]\nlisten = \"[::1]:9180\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Ledger{Dir: "/var/lib/x", Durable: guard.Batch, SyncEvery: Duration(20 * time.Millisecond), OnFailure: guard.Refuse,
+		Remember: Duration(2 * time.Minute), MaxEntries: 100_000, SegmentSize: 4 << 20, MaxSize: 1 << 30}
+	if *c.Ledger != want || c.Admin.Listen != "[::1]:9180" {
+		t.Errorf("%+v, %+v", c.Ledger, c.Admin)
+	}
+	if c, err := Parse(nil); err != nil || c.Ledger != nil || c.Admin != nil {
+		t.Errorf("an empty file: %+v, %v", c, err)
+	}
+}
+
+// What cannot be used is named with its line, its column, and what could be.
+func TestFaults(t *testing.T) {
+	const ok = "[ledger]\ndir = \"/x\"\n"
+	for text, want := range map[string]string{
+		"[ledgr]\ndir = \"/x\"\n":                               "1:2: no such key: ledgr",
+		ok + "durably = 1\nother = 2\n":                         "3:1: no such key: ledger.durably",
+		ok + "durable = \"sometimes\"":                          "3:1: ledger.durable: \"sometimes\" is not \"always\", \"batch\" or \"off\"",
+		ok + "durable = 5":                                      "3:11: ",
+		ok + "on_failure = \"pray\"":                            "3:1: ledger.on_failure: ",
+		"[ledger]\n":                                            "1:2: ledger.dir: \"\" is no absolute path",
+		"[ledger]\ndir = \"here\"\n":                            "2:1: ledger.dir: \"here\" is no absolute path",
+		ok + "durable = \"off\"":                                "2:1: ledger.dir: is of no use",
+		ok + "sync_every = \"1s\"":                              "3:1: ledger.sync_every: goes with",
+		ok + "durable = \"batch\"\nsync_every = \"1h\"":         "4:1: ledger.sync_every: 1h0m0s is not from 1ms to 10s",
+		ok + "remember = \"5 minutes\"":                         "3:12: \"5 minutes\" is no time such as",
+		ok + "remember = \"1s\"":                                "3:1: ledger.remember: 1s is not from 10s",
+		ok + "max_entries = 3":                                  "3:1: ledger.max_entries: 3 is not",
+		ok + "segment_size = \"4MB\"":                           "3:16: \"4MB\" is no size such as",
+		ok + "segment_size = \"8MiB\"\nmax_size = \"16MiB\"":    "4:1: ledger.max_size: ",
+		ok + "max_size = \"99999999999GiB\"":                    "is too large",
+		"[admin]\nlisten = \"0.0.0.0:80\"":                      "2:1: admin.listen: 0.0.0.0:80 is not on loopback",
+		"[admin]\nlisten = \"localhost\"":                       "2:1: admin.listen: \"localhost\" is no address",
+		"[admin]\nlisten = \"127.0.0.1:1\"\nlisten = \"again\"": "3:",
+		"admin = 1":                              "1:9: ",
+		"[ledger":                                "1:",
+		"\xff\xfe":                               "1:",
+		ok + "[ledger.dir]\nx = 1\n[[ledger]]\n": "",
+	} {
+		c, err := Parse([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %+v, %v; want %q", text, c, err, want)
+		}
+	}
+}
+
+// Each fault is a line that begins with the file's name.
+func TestLoadNamesTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.toml")
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), path) {
+		t.Errorf("%v", err)
+	}
+	if err := os.WriteFile(path, []byte("[ledger]\ndir = \"x\"\nremember = \"1s\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Load(path)
+	if err == nil || strings.Count(err.Error(), path+":") != 2 || !strings.Contains(err.Error(), path+":3:1: ledger.remember") {
+		t.Errorf("%v", err)
+	}
+}
+
+// Whatever the file holds, it is read or an error names a line.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[ledger]\ndir = \"/x\"\nremember = \"1m\"\n[admin]\nlisten = \"127.0.0.1:1\""))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if _, err := Parse(text); err != nil && len(unwrap(err)) == 0 {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- a/internal/store/check.go
+++ b/internal/store/check.go
@@ -1,8 +1,11 @@
 package store
 
 import (
+	"errors"
 	"fmt"
+	"os"
 	"slices"
+	"time"
 )
 
 // Segment is what Check says of one.
@@ -29,6 +32,9 @@
 	for _, name := range names {
 		if n := fileNumber(name, suffix); n > 0 {
 			g, err := check(fs, name, n)
+			if errors.Is(err, os.ErrNotExist) { // a compaction has taken it
+				continue
+			}
 			if err != nil {
 				return list, fmt.Errorf("store: %s: %w", name, err)
 			}
@@ -79,6 +85,40 @@
 	return g, nil
 }
 
+// Read calls each with every entry of a directory, expired ones included, and changes nothing: it takes no lock, and a
+// store that is open may change meanwhile. What it cannot read it leaves out.
+func Read(fs FS, each func(key string, value []byte, expires time.Time)) error {
+	names, err := fs.List()
+	if err != nil {
+		return err
+	}
+	latest := map[string]record{}
+	for _, name := range names {
+		n := fileNumber(name, suffix)
+		if n == 0 {
+			continue
+		}
+		b, err := content(fs, name)
+		if errors.Is(err, os.ErrNotExist) { // a compaction has taken it
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("store: %s: %w", name, err)
+		}
+		scan(b, n, func(r record, _, _ int64) {
+			if old, ok := latest[r.key]; !ok || old.seq < r.seq {
+				latest[r.key] = r
+			}
+		})
+	}
+	for key, r := range latest {
+		if r.kind == put {
+			each(key, r.value, time.UnixMilli(r.expires))
+		}
+	}
+	return nil
+}
+
 func content(fs FS, name string) ([]byte, error) {
 	f, err := fs.Open(name)
 	if err != nil {
