--- /dev/null
+++ b/cmd/hazelwing/kill_test.go
@@ -0,0 +1,311 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+)
+
+var (
+	kills    = flag.Int("kills", 6, "how often TestKilled kills the daemon, for each durability")
+	killMode = flag.String("kill.durable", "", "TestKilled with this durability only: \"off\" shows what the disk is for")
+	killSeed = flag.Uint64("kill.seed", 1, "seed of TestKilled")
+)
+
+// testRun makes this test's program the daemon.
+const testRun = "HAZELWING_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(testRun) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+var killClasses = []standin.TrafficClass{
+	{Name: "look", Effect: "safe", AimMS: 1000, DeadlineMS: 4000, Worth: 1, LateShare: 0.5},
+	{Name: "book", Effect: "unsafe", AimMS: 1000, DeadlineMS: 4000, Worth: 1, LateShare: 0.5},
+	{Name: "pay", Effect: "keyed", AimMS: 1000, DeadlineMS: 4000, Worth: 1, LateShare: 0.5},
+}
+
+// daemonRig is a daemon as a process of its own, beside stand-in nodes in this one.
+type daemonRig struct {
+	t     *testing.T
+	fleet *standin.Fleet
+	addr  string
+	env   []string
+	cmd   *exec.Cmd
+	log   *os.File
+}
+
+// newDaemonRig makes one that is not started yet; operator is the text of the operator's file, "" for none, with DIR for
+// an empty directory.
+func newDaemonRig(t *testing.T, operator string) *daemonRig {
+	t.Helper()
+	traffic := &standin.Traffic{Head: standin.Head{Classes: killClasses}}
+	var nodes []standin.NodeConfig
+	for i := range 6 {
+		nodes = append(nodes, standin.NodeConfig{Name: fmt.Sprint("n", i), Zone: string(rune('a' + i%3)), Kind: "m", Speed: 1})
+	}
+	fleet, err := standin.NewFleet(standin.FleetConfig{Nodes: nodes, Effects: traffic.Effects()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &daemonRig{t: t, fleet: fleet, addr: l.Addr().String()}
+	l.Close()
+	text, err := standin.Platform(traffic, r.addr, fleet.Discovery.Addr(), "7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	r.env = append(os.Environ(), testRun+"=1", "RELAY_CONFIG="+write("platform.json", string(text)))
+	if operator != "" {
+		r.env = append(r.env, operatorVariable+"="+write("operator.toml", strings.ReplaceAll(operator, "DIR", filepath.Join(dir, "ledger"))))
+	}
+	if r.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.kill()
+		r.log.Close()
+	})
+	return r
+}
+
+func (r *daemonRig) start() {
+	r.t.Helper()
+	r.cmd = exec.Command(os.Args[0])
+	r.cmd.Env, r.cmd.Stderr = r.env, r.log
+	if err := r.cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	fixture.Until(r.t, "the daemon", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+}
+
+func (r *daemonRig) kill() {
+	if r.cmd != nil {
+		r.cmd.Process.Kill()
+		r.cmd.Wait()
+		r.cmd = nil
+	}
+}
+
+// tried is what becomes of one try of a client's.
+type tried int
+
+const (
+	served tried = iota
+	refused
+	failed
+	broken // the connection, with the daemon
+)
+
+// try sends one request under an id of its own.
+func (r *daemonRig) try(client *http.Client, class standin.TrafficClass, key, id string) tried {
+	method, body := http.MethodGet, ""
+	if class.Effect != "safe" {
+		method, body = http.MethodPost, "seat"
+	}
+	req, err := http.NewRequest(method, "http://"+r.addr+"/"+class.Name+"/x", strings.NewReader(body))
+	if err != nil {
+		r.t.Error(err)
+		return failed
+	}
+	if body == "" {
+		req.Body, req.ContentLength = nil, 0
+	} else {
+		req.Header.Set("Idempotency-Key", key)
+		req.GetBody = nil // nothing is sent again but by this client
+	}
+	for name, value := range map[string]string{"X-Request-Id": id, "X-Class": class.Name, "X-Deadline-Ms": "3000", "X-Extras": "work=12000"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return broken
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return broken
+	case resp.StatusCode == http.StatusOK:
+		if !strings.HasPrefix(string(text), id) {
+			r.t.Errorf("%s was served with %q", id, text)
+		}
+		return served
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		if runs := r.fleet.Ledger.KeyRuns(key); runs > 0 && class.Effect == "unsafe" {
+			r.t.Errorf("%s with key %s was refused after it ran", id, key)
+		}
+		return refused
+	case resp.StatusCode == http.StatusBadGateway, resp.StatusCode == http.StatusGatewayTimeout:
+		return failed
+	}
+	r.t.Errorf("%s: %s %s", id, resp.Status, text)
+	return failed
+}
+
+// The daemon is killed at any moment and started again, while clients try on under new ids with the same key, whatever
+// they were told: nothing unsafe runs twice, and nothing keyed twice outside its group's window. The long form is
+//
+//	go test ./cmd/hazelwing -run Killed -kills 200 -timeout 30m
+func TestKilled(t *testing.T) {
+	for _, durable := range []string{"always", "batch"} {
+		if *killMode != "" {
+			durable = *killMode
+		}
+		t.Run(durable, func(t *testing.T) {
+			t.Parallel()
+			killed(t, durable)
+		})
+		if *killMode != "" {
+			break
+		}
+	}
+}
+
+func killed(t *testing.T, durable string) {
+	operator := fmt.Sprintf("[ledger]\ndurable = %q\nremember = \"1h\"\n", durable)
+	if durable != "off" {
+		operator += "dir = \"DIR\"\n"
+	}
+	r := newDaemonRig(t, operator)
+	r.start()
+	const clients, tries = 12, 4
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	var ends [4]atomic.Int64
+	var later [4]atomic.Int64 // of tries after a connection broke
+	for n := range clients {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(*killSeed, uint64(n)))
+			transport := &http.Transport{DisableKeepAlives: rng.IntN(2) == 0}
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Transport: transport, Timeout: fixture.Patience}
+			for i := 0; ; i++ {
+				class := killClasses[rng.IntN(len(killClasses))]
+				key := fmt.Sprintf("k%d-%d", n, i)
+				again := false
+				for try := range tries {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					end := r.try(client, class, key, fmt.Sprintf("%s-%d", key, try))
+					ends[end].Add(1)
+					if again && class.Effect != "safe" {
+						later[end].Add(1)
+					}
+					if end == served {
+						break
+					}
+					again = again || end == broken
+					time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+				}
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(*killSeed, 1000))
+	for range *kills {
+		time.Sleep(time.Duration(20+rng.IntN(200)) * time.Millisecond)
+		r.kill()
+		r.start()
+	}
+	close(stop)
+	all.Wait()
+	for _, rule := range r.fleet.Ledger.Broken() {
+		t.Error("rule broken:", rule)
+	}
+	total, _ := r.fleet.Ledger.Executions("")
+	t.Logf("%s: %d kills, %d executions; tries served %d, refused %d, failed %d, broken off %d; after a kill served %d, refused %d, failed %d", durable, *kills,
+		total, ends[served].Load(), ends[refused].Load(), ends[failed].Load(), ends[broken].Load(), later[served].Load(), later[refused].Load(), later[failed].Load())
+	if ends[served].Load() == 0 || later[failed].Load() == 0 {
+		t.Error("nothing was served, or no repeat came to a daemon that had been killed")
+	}
+}
+
+var cost = flag.Duration("cost", 0, "TestCost: how long each run takes; 0: it is skipped")
+
+// TestCost measures what the ledger costs a request, for each durability, in turns:
+//
+//	go test ./cmd/hazelwing -run Cost -v -cost 10s -timeout 30m
+func TestCost(t *testing.T) {
+	if *cost == 0 {
+		t.Skip("-cost is not set")
+	}
+	traffic := func(class string, rate float64) *standin.Traffic {
+		out := &standin.Traffic{Head: standin.Head{Classes: killClasses}}
+		rng := rand.New(rand.NewPCG(1, 1))
+		for at := 0.0; at < cost.Seconds(); at += rng.ExpFloat64() / rate {
+			out.Requests = append(out.Requests, standin.Request{AtMS: at * 1000, Class: class, WorkUS: 2000, HintUS: 2000})
+		}
+		return out
+	}
+	fmt.Println("| round | ledger | unsafe p50 ms | p99 | p99.9 | safe p50 ms | p99 | p99.9 | served |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for round := range 3 {
+		for _, mode := range []string{"none", "off", "batch", "always"} {
+			operator := ""
+			switch mode {
+			case "none":
+			case "off":
+				operator = "[ledger]\ndurable = \"off\"\n"
+			default:
+				operator = fmt.Sprintf("[ledger]\ndurable = %q\ndir = \"DIR\"\n", mode)
+			}
+			r := newDaemonRig(t, operator)
+			r.start()
+			do, idle := standin.HTTPClient(r.addr, r.fleet.Ledger)
+			var unsafe, safe *standin.Report
+			var both sync.WaitGroup
+			both.Go(func() { unsafe = standin.Replay(t.Context(), traffic("book", 150), time.Second, do) })
+			both.Go(func() {
+				safe = standin.Replay(t.Context(), traffic("look", 150), time.Second,
+					func(ctx context.Context, n int, c standin.TrafficClass, q standin.Request) standin.Kind {
+						return do(ctx, n+1<<24, c, q)
+					})
+			})
+			both.Wait()
+			idle()
+			r.kill()
+			ms := func(d time.Duration) float64 { return d.Seconds() * 1000 }
+			fmt.Printf("| %d | %s | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %d of %d |\n", round+1, mode, ms(unsafe.P50), ms(unsafe.P99), ms(unsafe.P999),
+				ms(safe.P50), ms(safe.P99), ms(safe.P999), unsafe.Served+safe.Served, unsafe.Asked+safe.Asked)
+		}
+	}
+}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -45,10 +45,12 @@
 	if j.Effect == Unsafe && l.runs[j.ID] > 1 {
 		l.breaks("%s %s ran %d times", j.Class, j.ID, l.runs[j.ID])
 	}
-	if j.Effect == Keyed {
+	if j.Effect != Safe && j.Key != "" {
 		if l.keyRuns[j.Key]++; l.keyRuns[j.Key] > 1 {
 			l.breaks("%s with key %s ran %d times", j.Class, j.Key, l.keyRuns[j.Key])
 		}
+	}
+	if j.Effect == Keyed {
 		if l.keys[zone] == nil {
 			l.keys[zone] = map[string]time.Time{}
 		}
@@ -95,6 +97,13 @@
 	return l.total, l.runs[id]
 }
 
+// KeyRuns is how many executions with an idempotency key began.
+func (l *Ledger) KeyRuns(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keyRuns[key]
+}
+
 // Arrivals is how many jobs reached a node, whatever became of them.
 func (l *Ledger) Arrivals() int {
 	l.mu.Lock()
--- a/internal/store/measure/measure_test.go
+++ b/internal/store/measure/measure_test.go
@@ -2,6 +2,7 @@
 // somebody is answered, that live for seconds. It is a module of its own, so that neither is a dependency of hazelwing:
 //
 //	cd internal/store/measure && go test -v -timeout 30m
+//	for e in store bbolt pebble; do go test -v -run Churn -engine $e; done
 package measure
 
 import (
@@ -27,6 +28,7 @@
 
 var (
 	length = flag.Duration("length", 2*time.Second, "of each run of appends")
+	only   = flag.String("engine", "", "measure this one only: memory of the process counts for one engine in one process")
 	lives  = flag.Duration("lives", time.Hour, "how long an entry lives; the run of churn takes 10 s")
 	churn  = flag.Duration("churn", 40*time.Second, "length of the run of churn")
 	rate   = flag.Int("rate", 5000, "entries a second of the run of churn")
@@ -159,6 +161,19 @@
 	open func(dir string) (engine, error)
 }{{"store", openOwn}, {"bbolt", openBolt}, {"pebble", openPebble}}
 
+// chosen are the engines that -engine leaves.
+func chosen() (list []struct {
+	name string
+	open func(dir string) (engine, error)
+}) {
+	for _, e := range engines {
+		if *only == "" || *only == e.name {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // key and value are like the ledger's: a fingerprint, and a few words about it.
 func key(i int) string { return fmt.Sprintf("book/%08x%08x", uint32(i)*2654435761, i) }
 
@@ -192,7 +207,7 @@
 func TestAppends(t *testing.T) {
 	fmt.Println("| engine | writers | durable appends a second | p50 ms | p99 ms | bytes given to the system for each byte kept |\n| --- | --- | --- | --- | --- | --- |")
 	for _, writers := range []int{1, 16, 256} {
-		for _, e := range engines {
+		for _, e := range chosen() {
 			db, err := e.open(t.TempDir())
 			if err != nil {
 				t.Fatal(err)
@@ -235,7 +250,7 @@
 
 func TestStart(t *testing.T) {
 	fmt.Println("| engine | live entries | start s | memory for each entry, bytes | disk MB |\n| --- | --- | --- | --- | --- |")
-	for _, e := range engines {
+	for _, e := range chosen() {
 		dir := t.TempDir()
 		db, err := e.open(dir)
 		if err != nil {
@@ -261,8 +276,8 @@
 func TestChurn(t *testing.T) {
 	defer func(old time.Duration) { *lives = old }(*lives)
 	*lives = 10 * time.Second
-	fmt.Println("| engine | entries a second | p50 ms | p99 ms | most on disk, MB | disk at the end, MB | heap at the end, MB | bytes given to the system for each byte kept | processor time, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, e := range engines {
+	fmt.Println("| engine | entries a second | p50 ms | p99 ms | most on disk, MB | disk at the end, MB | heap at the end, MB | process at most, MB | bytes given to the system for each byte kept | processor time, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, e := range chosen() {
 		dir := t.TempDir()
 		before := memory()
 		db, err := e.open(dir)
@@ -316,9 +331,9 @@
 		given, used = written()-given, processor()-used
 		slices.Sort(took)
 		n := len(took)
-		fmt.Printf("| %s | %.0f | %.2f | %.2f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", e.name, float64(n)/passed.Seconds(),
+		fmt.Printf("| %s | %.0f | %.2f | %.2f | %.1f | %.1f | %.1f | %.0f | %.1f | %.1f |\n", e.name, float64(n)/passed.Seconds(),
 			took[n/2].Seconds()*1000, took[n*99/100].Seconds()*1000, float64(most)/1e6, float64(diskUse(t, dir))/1e6,
-			float64(int64(memory())-int64(before))/1e6, float64(given)/float64(n*(len(key(0))+len(value(0)))), used.Seconds())
+			float64(int64(memory())-int64(before))/1e6, peak(), float64(given)/float64(n*(len(key(0))+len(value(0)))), used.Seconds())
 		if err := db.close(); err != nil {
 			t.Error(err)
 		}
@@ -333,6 +348,13 @@
 	return m.HeapAlloc
 }
 
+// peak is the most memory that this process has had, in MB.
+func peak() float64 {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return float64(u.Maxrss) * 1024 / 1e6
+}
+
 // processor is the time that this process has used so far.
 func processor() time.Duration {
 	var u syscall.Rusage
