Lab: an emulator of fleets in simulated time, around the real decision module

Claims about thousands of instances, overloads and storms could be shown only on real sockets with a dozen nodes. internal/lab/world is one event queue, one clock and seeded chance: nodes, a network, the list, clients that try again, faults, and instances that carry out what a policy says, the real module among them. Its queues wait as the closed forms say (M/M/1, M/M/c, M/D/1, M/G/1 within 6 per cent, Erlang's loss within 0.01), and the same seed gives the same bytes. The module keeps all rules through fourteen kinds of trouble with 1, 5 and 60 instances.

--- /dev/null
+++ b/cmd/hazelwing/store_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/ledger"
+	"hazelwing/internal/ledger/guard"
+	"hazelwing/internal/store"
+)
+
+// A directory is inspected, verified and compacted; one that the disk has changed, that is in use, or that is not there
+// is an error that names it.
+func TestStoreCommand(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "ledger")
+	fs, err := store.Dir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := store.Open(fs, store.Options{Manual: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	at := func(d time.Duration) ledger.Time { return ledger.Time(now.Add(d).UnixMilli()) }
+	for key, r := range map[string]ledger.Record{
+		"a": {Effect: balancer.Unsafe, Class: "confirm-booking", State: ledger.Open, Since: at(0), Expires: at(time.Hour), Places: []ledger.Place{{Zone: "upper-hill"}}},
+		"b": {Effect: balancer.Keyed, Class: "payment-record", State: ledger.Ran, Since: at(-time.Minute), Expires: at(time.Hour), Places: []ledger.Place{{Zone: "athi-river"}}},
+	} {
+		fp := ledger.FingerprintOf(r.Class, "", key)
+		for range 3 {
+			if err := s.Put(string(fp[:]), r.Append(nil), now.Add(time.Hour)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if _, err := execute("store", "compact", dir); err == nil || !strings.Contains(err.Error(), dir) {
+		t.Errorf("compacting one that is in use: %v", err)
+	}
+	out, err := execute("store", "inspect", dir)
+	if pay, book := strings.Index(out, "payment-record"), strings.Index(out, "confirm-booking"); err != nil || pay < 0 || book < pay || !strings.Contains(out, "2 remembered") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	out, err = execute("store", "inspect", dir, "--json")
+	var list []guard.Remembered
+	if e := json.Unmarshal([]byte(out), &list); err != nil || e != nil || len(list) != 2 || list[1].State != "open" || list[1].Where != "upper-hill/0" {
+		t.Errorf("%v, %v\n%s", err, e, out)
+	}
+	s.Close()
+	if out, err := execute("store", "compact", dir); err != nil || !strings.Contains(out, "2 entries: 1 segments") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	var segments []store.Segment
+	out, err = execute("store", "verify", "--json", dir)
+	if e := json.Unmarshal([]byte(out), &segments); err != nil || e != nil || len(segments) != 1 || segments[0].Puts != 2 {
+		t.Fatalf("%v, %v\n%s", err, e, out)
+	}
+	path := filepath.Join(dir, segments[0].Name)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[40] ^= 1
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := execute("store", "verify", dir); err == nil || !strings.Contains(err.Error(), dir) || !strings.Contains(out, segments[0].Name) {
+		t.Errorf("the disk has changed a record: %v\n%s", err, out)
+	}
+	absent := filepath.Join(dir, "absent")
+	for _, sub := range []string{"inspect", "verify", "compact"} {
+		if _, err := execute("store", sub, absent); err == nil || !strings.Contains(err.Error(), absent) {
+			t.Errorf("%s: %v", sub, err)
+		}
+	}
+	if _, err := os.Stat(absent); err == nil {
+		t.Error("a directory was made")
+	}
+}
+
+// The example is good as it stands, and with everything in it turned on.
+func TestCheckCommand(t *testing.T) {
+	const example = "../../deploy/hazelwing.toml"
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var on []string
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "# "); ok && (strings.HasPrefix(rest, "[") || strings.Contains(rest, " = ")) {
+			if strings.HasPrefix(rest, "sync_every") {
+				on = append(on, "durable = \"batch\"\n")
+			} else if strings.HasPrefix(rest, "durable") {
+				continue
+			}
+			line = rest
+		}
+		on = append(on, line)
+	}
+	path := filepath.Join(t.TempDir(), "on.toml")
+	if err := os.WriteFile(path, []byte(strings.Join(on, "")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := execute("check", example, path); err != nil || strings.Count(out, ": good") != 2 {
+		t.Errorf("%v\n%s\n%s", err, out, strings.Join(on, ""))
+	}
+	if err := os.WriteFile(path, []byte("[ledger]\ndir = 5\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := execute("check", path); err == nil || !strings.Contains(err.Error(), path+":2:") {
+		t.Errorf("%v", err)
+	}
+	t.Setenv("RELAY_CONFIG", t.TempDir()+"/absent.json")
+	if _, err := execute("run", "--operator", path); err == nil || !strings.Contains(err.Error(), "absent.json") {
+		t.Errorf("the platform's file comes first: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/daemon/ledger_test.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"hazelwing/internal/ledger/guard"
+	"hazelwing/internal/operator"
+	"hazelwing/internal/standin/fixture"
+)
+
+// withOperator starts a daemon with an operator's file, and returns it with what the file's parts show.
+func withOperator(t *testing.T, upstream, text string) (r *running, stop func()) {
+	t.Helper()
+	op, err := operator.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := build(loadText(t, fmt.Sprintf(fixture.Config, fixture.NoAddr, upstream)), op, quietLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r = &running{sidecar: s, url: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{}, Timeout: fixture.Patience}}
+	ctx, end := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() { s.engine.Run(ctx); close(ran) }()
+	go s.front.Serve(ctx, l, 100, quietLog)
+	return r, func() {
+		end()
+		<-ran
+		if err := s.close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// With the ledger unsafe requests may bring a key, and a repeat of what may have run is failed at once, also by the next
+// daemon on the same directory.
+func TestLedger(t *testing.T) {
+	copies := make(chan bool, 100)
+	addr := fixture.Raw(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		if fixture.ReadRequest(r) != nil {
+			copies <- true
+			conn.Close() // it may have run
+		}
+	})
+	text := fmt.Sprintf("[ledger]\ndir = %q\n[admin]\nlisten = \"127.0.0.1:0\"\n", t.TempDir())
+	try := func(r *running, id string) (int, string) {
+		req := r.request(t, "POST", "book", id, "x")
+		req.Header.Set("Idempotency-Key", "same")
+		resp, body := r.do(t, req)
+		return resp.StatusCode, body
+	}
+	r, stop := withOperator(t, addr, text)
+	for i := range 3 {
+		if status, body := try(r, fmt.Sprint(i)); status != 502 {
+			t.Errorf("try %d: %d %s", i, status, body)
+		}
+	}
+	if r.admin == nil {
+		t.Error("no endpoint")
+	}
+	stop()
+	r, stop = withOperator(t, addr, text)
+	defer stop()
+	if status, body := try(r, "later"); status != 502 {
+		t.Errorf("after a restart: %d %s", status, body)
+	}
+	if len(copies) != 1 {
+		t.Errorf("%d copies were sent", len(copies))
+	}
+	go func() { // what the endpoint shows
+		http.Serve(r.admin, r.parts())
+	}()
+	get := func(path string) (int, string) {
+		resp, err := r.client.Get("http://" + r.admin.Addr().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(b)
+	}
+	var state guard.State
+	status, body := get("/ledger")
+	if err := json.Unmarshal([]byte(body), &state); status != 200 || err != nil || state.Remembered != 1 || state.Failed != 1 || state.Store.Segments == 0 {
+		t.Errorf("%d %v %s", status, err, body)
+	}
+	if _, body := get("/"); !strings.Contains(body, `"ledger"`) {
+		t.Error(body)
+	}
+	if status, _ := get("/other"); status != 404 {
+		t.Error(status)
+	}
+	if resp, err := r.client.Post("http://"+r.admin.Addr().String()+"/ledger", "", nil); err != nil || resp.StatusCode != 405 {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
+
+// What cannot be started with is an error that names the key, and lets all else go again.
+func TestLedgerCannotStart(t *testing.T) {
+	dir := t.TempDir()
+	cfg := loadText(t, fmt.Sprintf(fixture.Config, fixture.NoAddr, fixture.NoAddr))
+	for text, want := range map[string]string{
+		fmt.Sprintf("[ledger]\ndir = %q\nremember = \"30s\"", dir):                          "ledger.remember: 30s is too short for the class book, which needs 40s",
+		"[ledger]\ndir = \"/dev/null/x\"":                                                   "ledger.dir",
+		fmt.Sprintf("[ledger]\ndir = %q\n[admin]\nlisten = \"127.0.0.1:%d\"", dir, busy(t)): "admin.listen",
+	} {
+		op, err := operator.Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := build(cfg, op, quietLog); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	r, stop := withOperator(t, fixture.NoAddr, fmt.Sprintf("[ledger]\ndir = %q", dir)) // nobody holds it any more
+	defer stop()
+	op, _ := operator.Parse([]byte(fmt.Sprintf("[ledger]\ndir = %q", dir)))
+	if _, err := build(cfg, op, quietLog); err == nil || !strings.Contains(err.Error(), "another process") || r.guard == nil {
+		t.Errorf("a second one: %v", err)
+	}
+}
+
+// busy is a port that is taken until the test ends.
+func busy(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().(*net.TCPAddr).Port
+}
--- /dev/null
+++ b/internal/lab/world/faults.go
@@ -0,0 +1,129 @@
+package world
+
+import (
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// chosen are the nodes that a fault is about.
+func (w *World) chosen(f Fault) (list []*node) {
+	if f.Node != "" {
+		return []*node{w.byName[f.Node]}
+	}
+	n := max(1, int(f.Share*float64(len(w.nodes))+0.5))
+	for _, x := range w.chance.Perm(len(w.nodes))[:min(n, len(w.nodes))] {
+		list = append(list, w.nodes[x])
+	}
+	return list
+}
+
+// fault makes one happen.
+func (w *World) fault(f Fault) {
+	switch f.What {
+	case "cut", "oneway":
+		w.cuts = append(w.cuts, cut{w.zone(f.Zone), f.What == "oneway", w.now + f.For})
+		return
+	case "silent":
+		for _, i := range w.instances {
+			i.silent = w.now + f.For
+			w.at(i.silent, func() {
+				news := i.news
+				i.news = nil
+				for _, do := range news {
+					do()
+				}
+			})
+		}
+		return
+	case "empty":
+		for _, i := range w.instances {
+			i.handle(balancer.Members{Kind: balancer.Full})
+			w.after(f.For, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()}) })
+		}
+		return
+	case "stall":
+		n := max(1, int(f.Share*float64(len(w.instances))+0.5))
+		for _, x := range w.chance.Perm(len(w.instances))[:min(n, len(w.instances))] {
+			w.instances[x].stalled = w.now + f.For
+		}
+		return
+	case "cost":
+		w.costly, w.times = f.Share, f.Times
+		w.after(f.For, func() { w.costly = 0 })
+		return
+	}
+	for _, n := range w.chosen(f) {
+		w.hit(n, f)
+	}
+}
+
+// hit makes a fault happen to one node.
+func (w *World) hit(n *node, f Fault) {
+	life := n.life
+	later := func(d time.Duration, do func()) { // to the same process
+		w.after(d, func() {
+			if n.life == life {
+				do()
+			}
+		})
+	}
+	switch f.What {
+	case "slow":
+		n.changed(func() { n.slow = f.Times })
+		later(f.For, func() { n.changed(func() { n.slow = 1 }) })
+	case "pause":
+		pause := func(d time.Duration) {
+			n.changed(func() { n.paused = true })
+			later(d, func() { n.changed(func() { n.paused = false }) })
+		}
+		if f.Every == 0 {
+			pause(f.For)
+			return
+		}
+		for at := time.Duration(0); at < f.For; at += f.Every {
+			later(at, func() { pause(f.Every / 2) })
+		}
+	case "crash", "vanish":
+		n.die(f.What == "vanish")
+		w.tell(n, balancer.Left)
+	case "restart":
+		n.rise()
+		w.tell(n, balancer.Active)
+	case "drain", "replace":
+		if n.drains || n.dead || n.vanished {
+			return
+		}
+		n.drains = true
+		w.tell(n, balancer.Leaving)
+		var leave func()
+		leave = func() {
+			if n.held() > 0 {
+				later(50*time.Millisecond, leave)
+				return
+			}
+			n.die(false)
+			w.tell(n, balancer.Left)
+			if f.What == "replace" {
+				w.after(w.cfg.List.Most, func() {
+					n.rise()
+					w.tell(n, balancer.Active)
+				})
+			}
+		}
+		later(w.cfg.List.Most+w.cfg.Rules.DrainGrace, leave)
+	case "reset":
+		n.breaks = f.Times
+		later(f.For, func() { n.breaks = 0 })
+	case "flap":
+		every := max(f.Every, 100*time.Millisecond)
+		state := balancer.Active
+		for at := time.Duration(0); at < f.For; at += every {
+			w.after(at, func() {
+				state = balancer.Left - state // gone, and there again
+				w.tell(n, state)
+			})
+		}
+		w.after(f.For, func() { w.tell(n, balancer.Active) })
+	}
+}
--- /dev/null
+++ b/internal/lab/world/instance.go
@@ -0,0 +1,329 @@
+package world
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// instance is one balancer with its clients: it carries out what its policy says.
+type instance struct {
+	w       *World
+	index   int
+	zone    int
+	policy  Policy
+	set     balancer.Settings
+	calls   map[string]*call
+	wake    time.Duration // when the policy is to be woken; 0: not
+	acts    []balancer.Action
+	conns   []connections // by node
+	told    []time.Duration
+	stalled time.Duration // it handles nothing until then
+	silent  time.Duration // the list tells it nothing until then
+	news    []func()      // that waits for the end of silence
+	weight  float64
+	number  int
+	ending  bool
+}
+
+// connections are an instance's to one node.
+type connections struct {
+	open int
+	idle []time.Duration // since when, oldest first
+}
+
+// call is one try of a client's: a request as an instance sees it.
+type call struct {
+	inst     *instance
+	id       string
+	req      *request
+	expires  time.Duration
+	attempts []*attempt
+	out      int
+	answered bool
+	left     bool // the client; the policy may not know yet
+	leaving  bool // it does not
+	runs     int  // executions
+}
+
+func (w *World) instance(index int, policy NewPolicy, seed uint64) error {
+	c := &w.cfg.Clients
+	s := w.cfg.Settings
+	zone := ""
+	if len(c.Zones) > 0 {
+		zone = c.Zones[index%len(c.Zones)]
+	}
+	s.Zone, s.Balancers = zone, c.Instances
+	s.ColdFrom, s.WarmUp = w.cfg.Rules.ColdFrom, w.cfg.Rules.WarmUp
+	s.FallMultiple, s.FallTime = w.cfg.Rules.FallMultiple, w.cfg.Rules.FallTime
+	s.ConnectTimeout = w.cfg.Network.ConnectTimeout
+	s.Classes = nil
+	for _, k := range w.cfg.Classes {
+		s.Classes = append(s.Classes, k.Class)
+	}
+	p, err := policy(s, seed)
+	if err != nil {
+		return err
+	}
+	i := &instance{w: w, index: index, zone: w.zone(zone), policy: p, set: s, calls: map[string]*call{},
+		conns: make([]connections, len(w.nodes)), told: make([]time.Duration, len(w.nodes)), weight: 1}
+	if len(c.Weights) > 0 {
+		i.weight = c.Weights[index]
+	}
+	w.instances = append(w.instances, i)
+	w.at(0, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()}) })
+	return nil
+}
+
+// handle lets the policy decide, or later where the host stands still.
+func (i *instance) handle(e balancer.Event) {
+	w := i.w
+	if w.now < i.stalled {
+		w.at(i.stalled, func() { i.handle(e) })
+		return
+	}
+	acts := i.policy.Handle(w.now+past, e, i.acts[:0])
+	i.acts = nil // an action may come back here
+	for n := range acts {
+		i.act(&acts[n])
+	}
+	i.acts = acts
+}
+
+func (i *instance) act(a *balancer.Action) {
+	w := i.w
+	switch a.Kind {
+	case balancer.Send:
+		i.send(a)
+	case balancer.Cancel:
+		if c := i.calls[a.ID]; c != nil && a.Attempt < len(c.attempts) {
+			x := c.attempts[a.Attempt]
+			w.after(0, func() { w.giveUp(x, balancer.Cancelled) }) // its outcome is an event of its own
+		}
+	case balancer.Refuse:
+		if c := i.calls[a.ID]; c != nil {
+			c.answer(Refused, a.RetryIn)
+			i.forget(c)
+		}
+	case balancer.Fail:
+		if c := i.calls[a.ID]; c != nil {
+			c.answer(Failed, 0)
+			i.forget(c)
+		}
+	case balancer.SetTimer:
+		at := max(a.At-past, w.now)
+		if i.wake == 0 || at < i.wake {
+			i.wake = at
+			w.at(at, func() {
+				if i.wake == at {
+					i.wake = 0
+					i.handle(balancer.Wake{})
+				}
+			})
+		}
+	case balancer.Subscribe:
+		i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()})
+	case balancer.Close:
+		if n := w.byName[a.Upstream]; n != nil {
+			for range i.conns[n.index].idle {
+				i.drop(n)
+			}
+			i.conns[n.index].idle = nil
+		}
+	case balancer.Probe:
+		i.probe(w.byName[a.Upstream])
+	}
+}
+
+func (i *instance) send(a *balancer.Action) {
+	c, n := i.calls[a.ID], i.w.byName[a.Upstream]
+	if c == nil || n == nil {
+		i.w.m.broke("an attempt that cannot be made, of %s to %s", a.ID, a.Upstream)
+		return
+	}
+	if c.answered && !c.left {
+		i.w.m.broke("%s was sent on after its answer", a.ID)
+	}
+	if t := i.told[n.index]; t > 0 && i.w.now-t > i.w.cfg.Rules.DrainGrace && i.w.cfg.Rules.DrainGrace > 0 {
+		i.w.m.broke("%s was sent to %v after its drain was told", n.Name, i.w.now-t)
+	}
+	x := &attempt{call: c, n: len(c.attempts), node: n}
+	c.attempts = append(c.attempts, x)
+	c.out++
+	i.w.send(x, a.Timeout)
+}
+
+// forget lets a call go that is answered and has nothing out.
+func (i *instance) forget(c *call) {
+	if c.answered && !c.leaving && c.out == 0 && i.calls[c.id] == c {
+		delete(i.calls, c.id)
+	}
+}
+
+// request takes a client's try.
+func (i *instance) request(r *request, expires time.Duration) *call {
+	i.number++
+	c := &call{inst: i, id: strconv.Itoa(i.number), req: r, expires: expires}
+	i.calls[c.id] = c
+	e := balancer.Request{ID: c.id, Class: r.class.Name, Expires: expires + past, Hint: r.hint}
+	if r.key > 0 {
+		e.Key = strconv.Itoa(r.key)
+	}
+	i.handle(e)
+	return c
+}
+
+// leave says that the client has gone. A host that stands still notices later, in its turn.
+func (i *instance) leave(c *call) {
+	if c.answered {
+		return
+	}
+	c.answered, c.left, c.leaving = true, true, true
+	i.gone(c)
+}
+
+func (i *instance) gone(c *call) {
+	if i.w.now < i.stalled {
+		i.w.at(i.stalled, func() { i.gone(c) })
+		return
+	}
+	c.leaving = false
+	i.handle(balancer.Gone{ID: c.id})
+	for _, a := range c.attempts {
+		i.w.giveUp(a, balancer.Cancelled)
+	}
+	i.forget(c)
+}
+
+func (i *instance) probe(n *node) {
+	w := i.w
+	if n == nil {
+		return
+	}
+	n.probes++
+	sent := w.now
+	end := func(r balancer.Result, load balancer.Load) {
+		i.handle(balancer.ProbeResult{Upstream: n.Name, Result: r, Elapsed: w.now - sent, Load: load})
+	}
+	z := w.zones[n.Zone]
+	there, ok := w.delay(i.zone, z)
+	back, okBack := w.delay(z, i.zone)
+	if !ok || !okBack || n.dead || n.vanished || n.paused {
+		w.after(probeTime, func() { end(balancer.Timeout, balancer.Load{}) })
+		return
+	}
+	w.after(there, func() {
+		held := float64(n.held())
+		w.after(back, func() { end(balancer.OK, balancer.Load{Told: true, Held: held}) })
+	})
+}
+
+const probeTime = 400 * time.Millisecond
+
+// ---- connections ----
+
+func (i *instance) open(n *node) {
+	i.conns[n.index].open++
+	n.conns++
+	n.connsMost = max(n.connsMost, n.conns)
+	i.w.m.handshakes++
+}
+
+// drop closes one.
+func (i *instance) drop(n *node) {
+	i.conns[n.index].open--
+	n.conns--
+}
+
+// takeIdle takes the connection that was used last, if there is one.
+func (i *instance) takeIdle(n *node) bool {
+	c := &i.conns[n.index]
+	if last := len(c.idle) - 1; last >= 0 && !n.dead {
+		c.idle = c.idle[:last]
+		return true
+	}
+	return false
+}
+
+func (i *instance) putIdle(n *node) {
+	c := &i.conns[n.index]
+	c.idle = append(c.idle, i.w.now)
+	if len(c.idle) == 1 {
+		i.w.after(i.w.cfg.Network.Idle, func() { i.sweep(n) })
+	}
+}
+
+// sweep closes what has been idle for long, and looks again while there is more.
+func (i *instance) sweep(n *node) {
+	c := &i.conns[n.index]
+	for len(c.idle) > 0 && i.w.now-c.idle[0] >= i.w.cfg.Network.Idle {
+		c.idle = slices.Delete(c.idle, 0, 1)
+		i.drop(n)
+	}
+	if len(c.idle) > 0 {
+		i.w.at(c.idle[0]+i.w.cfg.Network.Idle, func() { i.sweep(n) })
+	}
+}
+
+// lost closes all idle connections to a process that has ended. Those in use end with their attempts.
+func (w *World) lost(n *node) {
+	for _, i := range w.instances {
+		for range i.conns[n.index].idle {
+			i.drop(n)
+		}
+		i.conns[n.index].idle = nil
+	}
+}
+
+// ---- the list ----
+
+func (n *node) member(s balancer.State) balancer.Member {
+	m := balancer.Member{Upstream: n.Name, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, State: s}
+	if n.born > 0 {
+		m.CameUp = n.born + past
+	}
+	return m
+}
+
+// list is the whole list as it is now.
+func (w *World) list() (list []balancer.Member) {
+	for _, n := range w.nodes {
+		switch {
+		case n.dead || n.vanished:
+		case n.drains:
+			list = append(list, n.member(balancer.Leaving))
+		default:
+			list = append(list, n.member(balancer.Active))
+		}
+	}
+	return list
+}
+
+// tell tells all instances of a node's state, each late by a time of its own, and in order.
+func (w *World) tell(n *node, s balancer.State) {
+	m := n.member(s)
+	for _, i := range w.instances {
+		d := w.cfg.List.Least + time.Duration(w.network.Float64()*float64(w.cfg.List.Most-w.cfg.List.Least))
+		w.after(d, func() {
+			i.hear(func() {
+				if s == balancer.Active {
+					i.told[n.index] = 0
+				} else if i.told[n.index] == 0 {
+					i.told[n.index] = w.now
+				}
+				i.handle(balancer.Members{Kind: balancer.Change, Entries: []balancer.Member{m}})
+			})
+		})
+	}
+}
+
+// hear takes news of the list, or keeps it until silence ends.
+func (i *instance) hear(news func()) {
+	if i.w.now < i.silent {
+		i.news = append(i.news, news)
+		return
+	}
+	news()
+}
--- /dev/null
+++ b/internal/lab/world/world_test.go
@@ -0,0 +1,173 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+const ms = time.Millisecond
+
+// inTurn sends every request to the next node in turn, and answers what comes of it: no balancer, for closed forms.
+type inTurn struct {
+	n, nodes int
+}
+
+func (p *inTurn) Handle(_ time.Duration, e balancer.Event, acts []balancer.Action) []balancer.Action {
+	switch e := e.(type) {
+	case balancer.Request:
+		p.n++
+		acts = append(acts, balancer.Action{Kind: balancer.Send, ID: e.ID, Upstream: fmt.Sprint("n", p.n%p.nodes), Timeout: time.Hour})
+	case balancer.Outcome:
+		if e.Result != balancer.OK {
+			acts = append(acts, balancer.Action{Kind: balancer.Refuse, ID: e.ID})
+		}
+	}
+	return acts
+}
+
+// plain is a world with nothing in it but a queue: a class with a work, nodes with cores, and a rate.
+func plain(nodes, cores, room int, rate float64, work Work, length time.Duration) Config {
+	c := Config{Length: length, Classes: []Class{{Class: balancer.Class{Name: "c", Aim: time.Hour, Deadline: time.Hour}, Share: 1, Work: work}},
+		Clients: Clients{Instances: 1, Rate: rate, Tries: 1}, Network: Network{Idle: time.Hour, ConnectTimeout: time.Second}}
+	for i := range nodes {
+		c.Nodes = append(c.Nodes, Node{Name: fmt.Sprint("n", i), Cores: cores, Speed: 1, Queue: room})
+	}
+	return c
+}
+
+// erlangC is the share of arrivals that wait in M/M/c, and erlangB that are lost in M/M/c/c.
+func erlangB(c int, a float64) float64 {
+	b := 1.0
+	for k := 1; k <= c; k++ {
+		b = a * b / (float64(k) + a*b)
+	}
+	return b
+}
+
+func erlangC(c int, a float64) float64 {
+	b := erlangB(c, a)
+	rho := a / float64(c)
+	return b / (1 - rho*(1-b))
+}
+
+// The queues wait as long as the closed forms say: M/M/1, M/M/c, M/D/1 (Pollaczek-Khinchine), and Erlang's loss.
+func TestQueuesAgainstClosedForms(t *testing.T) {
+	const unlimited = 1 << 30
+	mean := 10 * ms
+	for _, c := range []struct {
+		name  string
+		cores int
+		rho   float64
+		work  Work
+		wait  float64 // mean, in services
+	}{
+		{"M/M/1 at 0.5", 1, 0.5, Work{"exp", mean, 0}, 0.5 / 0.5},
+		{"M/M/1 at 0.8", 1, 0.8, Work{"exp", mean, 0}, 0.8 / 0.2},
+		{"M/D/1 at 0.8", 1, 0.8, Work{"fixed", mean, 0}, 0.8 / 0.2 / 2},
+		{"M/M/4 at 0.8", 4, 0.8, Work{"exp", mean, 0}, erlangC(4, 3.2) / (4 * (1 - 0.8))},
+		{"M/G/1, lognormal, at 0.6", 1, 0.6, Work{"lognormal", mean, 1}, 0.6 / 0.4 * math.E / 2},
+	} {
+		cfg := plain(1, c.cores, unlimited, c.rho*float64(c.cores)/mean.Seconds(), c.work, 2000*time.Second)
+		sum := 0.0
+		n := 0
+		r, err := Run(cfg, func(balancer.Settings, uint64) (Policy, error) {
+			return &timing{inTurn{nodes: 1}, func(d time.Duration) { sum += d.Seconds(); n++ }}, nil
+		}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := (sum/float64(n) - mean.Seconds()) / mean.Seconds()
+		if n != r.Served || math.Abs(got-c.wait) > 0.06*c.wait {
+			t.Errorf("%s: waits %.3f services, want %.3f (%d served)", c.name, got, c.wait, n)
+		}
+	}
+	for _, c := range []struct {
+		cores int
+		load  float64
+	}{{1, 0.7}, {5, 4}, {10, 12}} {
+		r, err := Run(plain(1, c.cores, 0, c.load/mean.Seconds(), Work{"exp", mean, 0}, 1000*time.Second),
+			func(balancer.Settings, uint64) (Policy, error) { return &inTurn{nodes: 1}, nil }, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, want := float64(r.Refused)/float64(r.Asked), erlangB(c.cores, c.load)
+		if math.Abs(got-want) > 0.01 {
+			t.Errorf("M/M/%d/%d: loses %.4f, want %.4f", c.cores, c.cores, got, want)
+		}
+	}
+}
+
+// timing tells how long each attempt took.
+type timing struct {
+	inTurn
+	took func(time.Duration)
+}
+
+func (p *timing) Handle(now time.Duration, e balancer.Event, acts []balancer.Action) []balancer.Action {
+	if o, ok := e.(balancer.Outcome); ok && o.Result == balancer.OK {
+		p.took(o.Elapsed)
+	}
+	return p.inTurn.Handle(now, e, acts)
+}
+
+// hazelwing is the real module.
+func hazelwing(s balancer.Settings, seed uint64) (Policy, error) { return balancer.New(s, seed) }
+
+// booking is a small site with trouble of every kind.
+func booking(instances int, rate float64) Config {
+	c := Config{Length: 20 * time.Second, List: List{200 * ms, 2 * time.Second},
+		Network: Network{Same: ms, Cross: 3 * ms, Jitter: 200 * time.Microsecond, Loss: 0.001, RetransmitTime: 200 * ms, ConnectTimeout: 250 * ms, Idle: 15 * time.Second},
+		Rules:   Rules{0.3, 5 * time.Second, 3, 2 * time.Second, 250 * ms},
+		Clients: Clients{Instances: instances, Rate: rate, Tries: 3, TryShare: 0.6, Wait: 50 * ms, Zones: []string{"a", "b", "c"}},
+		Settings: balancer.Settings{Tick: 5 * ms, MaxAttempts: 4, SecondCopies: true, Cancelling: true, RetryAfter: true, MaxRetryAfter: 200 * ms,
+			Probes: true, LoadByProbes: true},
+		Classes: []Class{
+			{Class: balancer.Class{Name: "look", Aim: 400 * ms, Deadline: 1500 * ms, LateShare: 0.4, Worth: 3}, Share: 0.7, Work: Work{"exp", 30 * ms, 0}, HintSpan: 1.2},
+			{Class: balancer.Class{Name: "book", Aim: 800 * ms, Deadline: 3 * time.Second, LateShare: 0.4, Worth: 10, Effect: balancer.Unsafe}, Share: 0.2, Work: Work{"exp", 50 * ms, 0}},
+			{Class: balancer.Class{Name: "pay", Aim: time.Second, Deadline: 4 * time.Second, LateShare: 0.4, Worth: 8, Effect: balancer.Keyed, Group: balancer.GroupZone, Window: 6 * time.Second}, Share: 0.1, Work: Work{"exp", 50 * ms, 0}},
+		},
+		Faults: []Fault{{At: 2 * time.Second, What: "slow", Share: 0.2, Times: 6, For: 4 * time.Second}, {At: 4 * time.Second, What: "replace", Node: "n2"},
+			{At: 5 * time.Second, What: "crash", Node: "n3"}, {At: 9 * time.Second, What: "restart", Node: "n3"}, {At: 6 * time.Second, What: "cut", Zone: "a", For: 3 * time.Second},
+			{At: 7 * time.Second, What: "reset", Share: 0.2, Times: 0.2, For: 3 * time.Second}, {At: 8 * time.Second, What: "pause", Share: 0.3, For: 4 * time.Second, Every: 800 * ms},
+			{At: 10 * time.Second, What: "stall", Share: 0.3, For: time.Second}, {At: 11 * time.Second, What: "silent", For: 4 * time.Second}, {At: 12 * time.Second, What: "drain", Node: "n5"},
+			{At: 13 * time.Second, What: "vanish", Node: "n6"}, {At: 14 * time.Second, What: "cost", Share: 0.02, Times: 10, For: 3 * time.Second},
+			{At: 15 * time.Second, What: "flap", Node: "n7", For: 3 * time.Second, Every: 500 * ms}, {At: 16 * time.Second, What: "oneway", Zone: "b", For: time.Second}},
+	}
+	for i := range 12 {
+		c.Nodes = append(c.Nodes, Node{Name: fmt.Sprint("n", i), Zone: string(rune('a' + i%3)), Kind: []string{"fast", "slow"}[i%2], Cores: 1, Speed: []float64{1.5, 0.7}[i%2], Queue: 64})
+	}
+	return c
+}
+
+// The same seed gives the same bytes, another seed others; the real module keeps all rules through trouble of every kind.
+func TestSameSeedSameBytes(t *testing.T) {
+	for _, instances := range []int{1, 5, 60} {
+		run := func(seed uint64) string {
+			r, err := Run(booking(instances, 150), hazelwing, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Breaks > 0 || r.Asked != r.Served+r.Refused+r.Failed+r.Unanswered || r.Service < 0.5 {
+				t.Errorf("%d instances, seed %d: service %.3f, %d asked, %d served, %d refused, %d failed, %d unanswered, %q", instances, seed, r.Service, r.Asked,
+					r.Served, r.Refused, r.Failed, r.Unanswered, r.Broken)
+			}
+			b, err := json.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return string(b)
+		}
+		one := run(1)
+		if run(1) != one {
+			t.Error("two runs with one seed differ")
+		}
+		if run(2) == one {
+			t.Error("two seeds give the same")
+		}
+	}
+}
--- a/internal/ledger/guard/guard_test.go
+++ b/internal/ledger/guard/guard_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -400,3 +401,51 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// BenchmarkRemembered says what memory a remembered request takes, in the ledger and in the store's index:
+//
+//	go test ./internal/ledger/guard -run xxx -bench Remembered -benchtime 100000x
+func BenchmarkRemembered(b *testing.B) {
+	g, err := Open(Config{Classes: classes, Durability: Always, Remember: time.Hour, MaxEntries: b.N + 1, FS: must(store.Dir(b.TempDir())), Clocks: Clocks})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer g.Close()
+	before := heap()
+	var all sync.WaitGroup
+	const writers = 256
+	for w := range writers {
+		all.Go(func() {
+			for i := w; i < b.N; i += writers {
+				c := &engine.Call{ID: fmt.Sprint(i), Class: "book"}
+				g.arrive(fingerprint(c), c)
+				x := &exchange{g: g, fp: fingerprint(c), zone: "a", ends: time.Now().Add(time.Minute), over: make(chan struct{})}
+				a, err := x.intend()
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				g.ended(x.fp, a, true, true)
+				g.mu.Lock()
+				g.ledger.Done(x.fp)
+				g.mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	b.ReportMetric(float64(heap()-before)/float64(b.N), "B/remembered")
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
