--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -260,7 +260,16 @@
 // end tells an attempt's outcome, once.
 func (w *World) end(a *attempt, r balancer.Result, load balancer.Load) {
 	a.ended = true
+	w.outcome(a, r, load)
+}
+
+// outcome takes it in, later where the host stands still.
+func (w *World) outcome(a *attempt, r balancer.Result, load balancer.Load) {
 	c := a.call
+	if w.now < c.inst.stalled {
+		w.at(c.inst.stalled, func() { w.outcome(a, r, load) })
+		return
+	}
 	c.out--
 	served := r == balancer.OK && !c.answered
 	if served {
