--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -29,6 +29,6 @@
 		SilenceErrors: true,
 	}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand())
+	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand(), labCommand())
 	return c
 }
--- /dev/null
+++ b/internal/lab/experiment/claim.go
@@ -0,0 +1,199 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"hazelwing/internal/lab/world"
+)
+
+// Claim is one as it is written: "MEASURE of CONTESTANT OP TERM", where OP is <, <=, > or >=, and TERM is a number or
+// "MEASURE of CONTESTANT", which may be multiplied by a number before it and have one added or taken after it:
+//
+//	service of hazelwing >= service of p2c - 0.01
+//	p99 of hazelwing <= 0.8 * p99 of round_robin
+//	breaks of hazelwing <= 0
+type Claim struct {
+	Says string `toml:"says"`
+	// On is what it has to hold on: "each" seed (the default), the "mean" over the seeds, or "most" (nine in ten seeds); at
+	// every point of the sweep that Where leaves.
+	On    string `toml:"on"`
+	Where string `toml:"where"` // "FACTOR = VALUE": only there
+}
+
+type claim struct {
+	Claim
+	left, right term
+	op          string
+}
+
+// term is factor x measure of contestant + plus, or plus alone.
+type term struct {
+	factor, plus        float64
+	measure, contestant string
+}
+
+var measuresOf = map[string]func(r *world.Result) float64{
+	"service":    func(r *world.Result) float64 { return r.Service },
+	"worst":      func(r *world.Result) float64 { return r.WorstClass },
+	"p50":        func(r *world.Result) float64 { return r.P50 },
+	"p99":        func(r *world.Result) float64 { return r.P99 },
+	"p999":       func(r *world.Result) float64 { return r.P999 },
+	"refused":    func(r *world.Result) float64 { return float64(r.Refused) / float64(max(r.Asked, 1)) },
+	"failed":     func(r *world.Result) float64 { return float64(r.Failed+r.Unanswered) / float64(max(r.Asked, 1)) },
+	"unanswered": func(r *world.Result) float64 { return float64(r.Unanswered) },
+	"tries":      func(r *world.Result) float64 { return r.Tries },
+	"attempts":   func(r *world.Result) float64 { return r.Attempts },
+	"wasted":     func(r *world.Result) float64 { return r.Wasted },
+	"handshakes": func(r *world.Result) float64 { return r.Handshakes },
+	"crossing":   func(r *world.Result) float64 { return r.Crossing },
+	"conns":      func(r *world.Result) float64 { return float64(r.Conns) },
+	"probes":     func(r *world.Result) float64 { return r.Probes },
+	"imbalance":  func(r *world.Result) float64 { return r.Imbalance },
+	"breaks":     func(r *world.Result) float64 { return float64(r.Breaks) },
+	// recovered is the service of the run's last quarter: whether trouble that is over has left the fleet.
+	"recovered": func(r *world.Result) float64 {
+		n := len(r.Seconds)
+		sum, asked := 0.0, 0
+		for _, s := range r.Seconds[n-n/4:] {
+			sum += s.Service * float64(s.Asked)
+			asked += s.Asked
+		}
+		return sum / float64(max(asked, 1))
+	},
+}
+
+func (c Claim) parse(contestants []string) (out claim, err error) {
+	out.Claim = c
+	switch c.On {
+	case "", "each", "mean", "most":
+	default:
+		return out, fmt.Errorf("on = %q is not \"each\", \"mean\" or \"most\"", c.On)
+	}
+	w := strings.Fields(c.Says)
+	at := slices.IndexFunc(w, func(s string) bool { return slices.Contains([]string{"<", "<=", ">", ">="}, s) })
+	if at < 0 {
+		return out, fmt.Errorf("it compares nothing: <, <=, > or >= is missing")
+	}
+	out.op = w[at]
+	if out.left, err = parseTerm(w[:at], contestants); err == nil {
+		out.right, err = parseTerm(w[at+1:], contestants)
+	}
+	return out, err
+}
+
+func parseTerm(w []string, contestants []string) (t term, err error) {
+	all := strings.Join(w, " ")
+	bad := fmt.Errorf("%q is no number, and not \"[NUMBER *] MEASURE of CONTESTANT [+|- NUMBER]\"", all)
+	t.factor = 1
+	if len(w) == 1 {
+		t.plus, err = strconv.ParseFloat(w[0], 64)
+		if err != nil || math.IsNaN(t.plus) {
+			return t, bad
+		}
+		return t, nil
+	}
+	if len(w) > 2 && w[1] == "*" {
+		if t.factor, err = strconv.ParseFloat(w[0], 64); err != nil {
+			return t, bad
+		}
+		w = w[2:]
+	}
+	if len(w) == 5 && (w[3] == "+" || w[3] == "-") {
+		if t.plus, err = strconv.ParseFloat(w[3]+w[4], 64); err != nil {
+			return t, bad
+		}
+		w = w[:3]
+	}
+	if len(w) != 3 || w[1] != "of" {
+		return t, bad
+	}
+	t.measure, t.contestant = w[0], w[2]
+	if measuresOf[t.measure] == nil {
+		return t, fmt.Errorf("there is no measure %q", t.measure)
+	}
+	if !slices.Contains(contestants, t.contestant) {
+		return t, fmt.Errorf("%q is no contestant here", t.contestant)
+	}
+	return t, nil
+}
+
+func (t term) value(r map[string]*world.Result) float64 {
+	if t.measure == "" {
+		return t.plus
+	}
+	return t.factor*measuresOf[t.measure](r[t.contestant]) + t.plus
+}
+
+// Verdict is what became of a claim.
+type Verdict struct {
+	Says  string `json:"says"`
+	On    string `json:"on"`
+	Holds bool   `json:"holds"`
+	// Of the seeds at all points (with "mean", of the points): how many hold, of how many, and the worst.
+	Good, Of int
+	Worst    string `json:"worst"`
+}
+
+// mostShare of the seeds have to hold where a claim is on "most".
+const mostShare = 0.9
+
+// Judge judges all claims on the results of a whole run.
+func (e *Experiment) Judge(runs []Run) (out []Verdict) {
+	for _, c := range e.Claims {
+		v := Verdict{Says: c.Says, On: c.On}
+		if v.On == "" {
+			v.On = "each"
+		}
+		worst := math.Inf(1)
+		weigh := func(where string, left, right float64) {
+			margin := right - left
+			holds := margin > 0 || margin == 0 && strings.HasSuffix(c.op, "=")
+			if strings.HasPrefix(c.op, ">") {
+				margin = -margin
+				holds = margin > 0 || margin == 0 && strings.HasSuffix(c.op, "=")
+			}
+			v.Of++
+			if holds {
+				v.Good++
+			}
+			if margin < worst {
+				worst = margin
+				v.Worst = fmt.Sprintf("%.4g against %.4g at %s", left, right, where)
+			}
+		}
+		for p, point := range e.Points {
+			if c.Where != "" && !slices.Contains(point.Factors, c.Where) {
+				continue
+			}
+			at := strings.Join(point.Factors, ", ")
+			lefts, rights, n := 0.0, 0.0, 0
+			for seed := range e.Seeds {
+				results := map[string]*world.Result{}
+				for _, r := range runs {
+					if r.Point == p && r.Seed == seed+1 {
+						results[r.Contestant] = r.Result
+					}
+				}
+				l, r := c.left.value(results), c.right.value(results)
+				lefts, rights, n = lefts+l, rights+r, n+1
+				if v.On != "mean" {
+					weigh(strings.TrimPrefix(fmt.Sprintf("%s, seed %d", at, seed+1), ", "), l, r)
+				}
+			}
+			if v.On == "mean" {
+				weigh(at, lefts/float64(n), rights/float64(n))
+			}
+		}
+		need := v.Of
+		if v.On == "most" {
+			need = int(math.Ceil(mostShare * float64(v.Of)))
+		}
+		v.Holds = v.Of > 0 && v.Good >= need
+		out = append(out, v)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/experiment/file.go
@@ -0,0 +1,435 @@
+// Package experiment reads experiments from files, plays them in the lab's worlds on all cores, and judges their claims.
+//
+// A file is TOML: a question, a world, the contestants, factors to sweep, seeds, and claims. docs/operators/lab.md
+// describes each key. Unknown keys, values of another kind and claims that cannot be read are errors that name the file
+// and the line.
+package experiment
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/lab/rival"
+	"hazelwing/internal/lab/world"
+)
+
+// File is an experiment as it is written.
+type File struct {
+	Base        string           `toml:"base"` // a file whose keys hold where this one has none
+	Question    string           `toml:"question"`
+	Found       string           `toml:"found"`
+	Contestants []string         `toml:"contestants"`
+	Seeds       int              `toml:"seeds"`
+	Slow        bool             `toml:"slow"` // takes more than a minute: not played in tests
+	Sweep       map[string][]any `toml:"sweep"`
+	World       World            `toml:"world"`
+	Fault       []Fault          `toml:"fault"`
+	Claim       []Claim          `toml:"claim"`
+}
+
+// World is a world as it is written. Times are as Go writes them.
+type World struct {
+	Length    Duration           `toml:"length"`
+	Load      float64            `toml:"load"` // work asked for, over what the nodes can do
+	Rate      float64            `toml:"rate"` // in its place: requests a second
+	Instances int                `toml:"instances"`
+	Nodes     Nodes              `toml:"nodes"`
+	Clients   Clients            `toml:"clients"`
+	Network   Network            `toml:"network"`
+	List      List               `toml:"list"`
+	Rules     Rules              `toml:"rules"`
+	Settings  Settings           `toml:"settings"`
+	Class     map[string]Traffic `toml:"class"`
+}
+
+// Nodes are alike but for what is listed: kinds and zones are taken in turn.
+type Nodes struct {
+	Count  int       `toml:"count"`
+	Zones  []string  `toml:"zones"`
+	Speeds []float64 `toml:"speeds"`
+	Cores  int       `toml:"cores"`
+	Queue  int       `toml:"queue"`
+	Cells  int       `toml:"cells"`
+}
+
+// Clients, Network, List, Rules and Settings are described at the world's.
+type Clients struct {
+	Tries    int      `toml:"tries"`
+	TryShare float64  `toml:"try_share"`
+	Wait     Duration `toml:"wait"`
+	Uneven   float64  `toml:"uneven"` // Zipf's exponent of the instances' traffic; 0: alike
+	Keys     int      `toml:"keys"`
+	Curve    []Point  `toml:"curve"`
+}
+
+// Point is one of the curve that the rate follows.
+type Point struct {
+	At    Duration `toml:"at"`
+	Times float64  `toml:"times"`
+}
+
+// Network is described at Clients.
+type Network struct {
+	Same, Cross    Duration
+	Jitter         Duration
+	Loss           float64
+	ConnectTimeout Duration `toml:"connect_timeout"`
+	Idle           Duration
+}
+
+// List is described at Clients.
+type List struct{ Least, Most Duration }
+
+// Rules is described at Clients.
+type Rules struct {
+	ColdFrom     float64  `toml:"cold_from"`
+	WarmUp       Duration `toml:"warm_up"`
+	FallMultiple float64  `toml:"fall_multiple"`
+	FallTime     Duration `toml:"fall_time"`
+	DrainGrace   Duration `toml:"drain_grace"`
+}
+
+// Settings is described at Clients.
+type Settings struct {
+	Tick       Duration
+	Attempts   int
+	Copies     bool
+	Cancelling bool
+	Probes     bool
+	RetryAfter Duration `toml:"retry_after"`
+	CrossZone  float64  `toml:"cross_zone"`
+}
+
+// Traffic is a class's.
+type Traffic struct {
+	Share, Worth, Late float64
+	Work               Duration
+	Kind               string
+	Spread             float64
+	Hint               float64
+	Aim, Deadline      Duration
+	Effect, Group      string
+	Window             Duration
+}
+
+// Fault is one of the world's.
+type Fault struct {
+	At    Duration
+	What  string
+	Node  string
+	Zone  string
+	Share float64
+	Times float64
+	For   Duration
+	Every Duration
+}
+
+// Duration is written as Go writes it.
+type Duration time.Duration
+
+// UnmarshalText reads one.
+func (d *Duration) UnmarshalText(text []byte) error {
+	x, err := time.ParseDuration(string(text))
+	*d = Duration(x)
+	if err != nil {
+		return fmt.Errorf("%q is no time such as \"100ms\" or \"10s\"", text)
+	}
+	return nil
+}
+
+// MarshalText writes one.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Experiment is a file that was read and can be played.
+type Experiment struct {
+	File
+	Path   string
+	Name   string
+	Hash   string // of what is played: the keys of the file and its base
+	Points []Setting
+	Claims []claim
+}
+
+// Setting is a point of the sweep: its factors' values, and its world.
+type Setting struct {
+	Factors []string // "name = value", in order of the names
+	World   world.Config
+}
+
+const (
+	mostPoints = 1000
+	mostSeeds  = 1000
+	depth      = 8 // of files that are another's base
+)
+
+// Load reads an experiment.
+func Load(path string) (*Experiment, error) {
+	tree, err := load(path, depth)
+	if err != nil {
+		return nil, err
+	}
+	whole, err := toml.Marshal(tree)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	e := &Experiment{Path: path, Name: strings.TrimSuffix(filepath.Base(path), ".toml")}
+	sum := sha256.Sum256(whole)
+	e.Hash = hex.EncodeToString(sum[:8])
+	if e.File, err = decode(tree); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := e.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if e.Points, err = points(tree, e.Sweep); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for i, c := range e.Claim {
+		x, err := c.parse(e.Contestants)
+		if err != nil {
+			return nil, fmt.Errorf("%s: claim %d, %q: %w", path, i+1, c.Says, err)
+		}
+		e.Claims = append(e.Claims, x)
+	}
+	return e, nil
+}
+
+// load reads a file strictly, and lays its keys over its base's.
+func load(path string, depth int) (map[string]any, error) {
+	if depth == 0 {
+		return nil, fmt.Errorf("%s: bases of bases of bases: do they go in a circle?", path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f File
+	if err := strict(text, &f); err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	tree := map[string]any{}
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if f.Base != "" {
+		base, err := load(filepath.Join(filepath.Dir(path), f.Base), depth-1)
+		if err != nil {
+			return nil, err
+		}
+		for _, own := range []string{"question", "found", "claim", "slow"} {
+			delete(base, own)
+		}
+		tree = lay(base, tree)
+	}
+	return tree, nil
+}
+
+// lay lays tables over each other; all else is replaced.
+func lay(under, over map[string]any) map[string]any {
+	out := maps.Clone(under)
+	for key, v := range over {
+		if t, ok := v.(map[string]any); ok {
+			if u, ok := out[key].(map[string]any); ok {
+				v = lay(u, t)
+			}
+		}
+		out[key] = v
+	}
+	return out
+}
+
+// strict decodes a text, and says where it cannot.
+func strict(text []byte, v any) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(v)
+	var one *toml.DecodeError
+	var missing *toml.StrictMissingError
+	switch {
+	case errors.As(err, &missing):
+		line, column := missing.Errors[0].Position()
+		return fmt.Errorf("%d:%d: no such key: %s", line, column, strings.Join(missing.Errors[0].Key(), "."))
+	case errors.As(err, &one):
+		line, column := one.Position()
+		return fmt.Errorf("%d:%d: %s", line, column, strings.TrimPrefix(one.Error(), "toml: "))
+	}
+	return err
+}
+
+func decode(tree map[string]any) (f File, err error) {
+	text, err := toml.Marshal(tree)
+	if err != nil {
+		return f, err
+	}
+	return f, strict(text, &f)
+}
+
+func (e *Experiment) check() error {
+	switch {
+	case e.Question == "":
+		return errors.New("question: an experiment asks one")
+	case len(e.Contestants) == 0:
+		return errors.New("contestants: there are none")
+	case e.Seeds < 1 || e.Seeds > mostSeeds:
+		return fmt.Errorf("seeds: %d is not from 1 to %d", e.Seeds, mostSeeds)
+	}
+	for i, c := range e.Contestants {
+		if _, err := rival.New(c); err != nil {
+			return fmt.Errorf("contestants: %w", err)
+		}
+		if slices.Contains(e.Contestants[:i], c) {
+			return fmt.Errorf("contestants: %s is there twice", c)
+		}
+	}
+	return nil
+}
+
+// points are all combinations of the sweep's values, the last factor's changing first.
+func points(tree map[string]any, sweep map[string][]any) ([]Setting, error) {
+	names := slices.Sorted(maps.Keys(sweep))
+	var out []Setting
+	var walk func(tree map[string]any, rest []string, at []string) error
+	walk = func(tree map[string]any, rest, at []string) error {
+		if len(out) > mostPoints {
+			return fmt.Errorf("sweep: more than %d points", mostPoints)
+		}
+		if len(rest) == 0 {
+			f, err := decode(tree)
+			if err != nil {
+				return fmt.Errorf("sweep at %s: %w", strings.Join(at, ", "), err)
+			}
+			w, err := f.world()
+			if err != nil {
+				return err
+			}
+			out = append(out, Setting{Factors: slices.Clone(at), World: w})
+			return nil
+		}
+		for _, v := range sweep[rest[0]] {
+			changed, err := set(tree, strings.Split(rest[0], "."), v)
+			if err != nil {
+				return fmt.Errorf("sweep: %s: %w", rest[0], err)
+			}
+			if err := walk(changed, rest[1:], append(slices.Clone(at), fmt.Sprintf("%s = %v", rest[0], v))); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return out, walk(tree, names, nil)
+}
+
+// set is a tree with one value replaced. Elements of arrays are numbered from 1.
+func set(tree map[string]any, path []string, v any) (map[string]any, error) {
+	out := maps.Clone(tree)
+	if len(path) == 1 {
+		out[path[0]] = v
+		return out, nil
+	}
+	switch x := out[path[0]].(type) {
+	case map[string]any:
+		y, err := set(x, path[1:], v)
+		out[path[0]] = y
+		return out, err
+	case []any:
+		n, err := strconv.Atoi(path[1])
+		if err != nil || n < 1 || n > len(x) || len(path) < 3 {
+			return nil, fmt.Errorf("there is no element %s", path[1])
+		}
+		t, ok := x[n-1].(map[string]any)
+		if !ok {
+			return nil, fmt.Errorf("element %s is no table", path[1])
+		}
+		y, err := set(t, path[2:], v)
+		x = slices.Clone(x)
+		x[n-1] = y
+		out[path[0]] = x
+		return out, err
+	}
+	return nil, fmt.Errorf("there is no table %s", path[0])
+}
+
+var effects = map[string]balancer.Effect{"": balancer.Safe, "safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe}
+var groups = map[string]balancer.Group{"": balancer.GroupAll, "all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell}
+
+// world is the file's as the lab plays it.
+func (f *File) world() (c world.Config, err error) {
+	d := func(x Duration) time.Duration { return time.Duration(x) }
+	w := &f.World
+	capacity := 0.0
+	for i := range w.Nodes.Count {
+		n := world.Node{Name: fmt.Sprint("n", i+1), Cores: max(w.Nodes.Cores, 1), Speed: 1, Queue: cmp.Or(w.Nodes.Queue, 64)}
+		if z := w.Nodes.Zones; len(z) > 0 {
+			n.Zone = z[i%len(z)]
+		}
+		if s := w.Nodes.Speeds; len(s) > 0 {
+			n.Speed = s[i%len(s)]
+			n.Kind = fmt.Sprint("kind", i%len(s))
+		}
+		if w.Nodes.Cells > 0 {
+			n.Cell = i % w.Nodes.Cells
+		}
+		capacity += n.Speed * float64(n.Cores)
+		c.Nodes = append(c.Nodes, n)
+	}
+	shares, work := 0.0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(w.Class)) {
+		t := w.Class[name]
+		effect, ok := effects[t.Effect]
+		group, okGroup := groups[t.Group]
+		if !ok || !okGroup {
+			return c, fmt.Errorf("world.class.%s: effect %q or group %q is none", name, t.Effect, t.Group)
+		}
+		if !slices.Contains([]string{"", "exp", "fixed", "lognormal", "pareto"}, t.Kind) {
+			return c, fmt.Errorf("world.class.%s: kind %q is none", name, t.Kind)
+		}
+		c.Classes = append(c.Classes, world.Class{Class: balancer.Class{Name: name, Aim: d(t.Aim), Deadline: d(t.Deadline), Worth: t.Worth, LateShare: t.Late,
+			Effect: effect, Group: group, Window: d(t.Window)}, Share: t.Share, Work: world.Work{Kind: cmp.Or(t.Kind, "exp"), Mean: d(t.Work), Spread: t.Spread}, HintSpan: t.Hint})
+		shares += t.Share
+		work += t.Share * d(t.Work).Seconds()
+	}
+	rate := w.Rate
+	if w.Load > 0 {
+		rate = w.Load * capacity / (work / shares)
+	}
+	if math.IsNaN(rate) || (w.Load > 0) == (w.Rate > 0) {
+		return c, errors.New("world: it needs load or rate, one of them")
+	}
+	c.Length = d(w.Length)
+	k := &w.Clients
+	c.Clients = world.Clients{Instances: w.Instances, Rate: rate, Zones: w.Nodes.Zones, Tries: max(k.Tries, 1), TryShare: k.TryShare, Wait: d(k.Wait), Keys: k.Keys}
+	if k.Uneven > 0 {
+		for i := range w.Instances {
+			c.Clients.Weights = append(c.Clients.Weights, math.Pow(float64(i+1), -k.Uneven))
+		}
+	}
+	for _, p := range k.Curve {
+		c.Clients.Curve = append(c.Clients.Curve, world.Point{At: d(p.At), Times: p.Times})
+	}
+	n := &w.Network
+	c.Network = world.Network{Same: d(n.Same), Cross: d(n.Cross), Jitter: d(n.Jitter), Loss: n.Loss, RetransmitTime: 200 * time.Millisecond,
+		ConnectTimeout: cmp.Or(d(n.ConnectTimeout), 250*time.Millisecond), Idle: cmp.Or(d(n.Idle), 15*time.Second)}
+	c.List = world.List{Least: d(w.List.Least), Most: max(d(w.List.Least), d(w.List.Most))}
+	r := &w.Rules
+	c.Rules = world.Rules{ColdFrom: r.ColdFrom, WarmUp: d(r.WarmUp), FallMultiple: r.FallMultiple, FallTime: d(r.FallTime), DrainGrace: d(r.DrainGrace)}
+	s := &w.Settings
+	c.Settings = balancer.Settings{Tick: cmp.Or(d(s.Tick), 5*time.Millisecond), MaxAttempts: max(s.Attempts, 1), SecondCopies: s.Copies, Cancelling: s.Cancelling,
+		Probes: s.Probes, LoadByProbes: s.Probes, RetryAfter: s.RetryAfter > 0, MaxRetryAfter: d(s.RetryAfter), PriceCrossZone: s.CrossZone}
+	for _, x := range f.Fault {
+		c.Faults = append(c.Faults, world.Fault{At: d(x.At), What: x.What, Node: x.Node, Zone: x.Zone, Share: x.Share, Times: x.Times, For: d(x.For), Every: d(x.Every)})
+	}
+	return c, c.Check()
+}
