--- a/cmd/hazelwing/lab.go
+++ b/cmd/hazelwing/lab.go
@@ -18,6 +18,7 @@
 	"golang.org/x/term"
 
 	"hazelwing/internal/lab/experiment"
+	"hazelwing/internal/lab/report"
 )
 
 // labDir is where runs are kept unless --out says otherwise.
@@ -32,7 +33,7 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	c.AddCommand(labRun(), labCheck(), labList(), labShow(), labCompare())
+	c.AddCommand(labRun(), labCheck(), labList(), labShow(), labCompare(), labReport())
 	return c
 }
 
@@ -97,7 +98,11 @@
 		return false, err
 	}
 	fmt.Fprintf(out, "%s: %s\n%s\n", e.Name, e.Question, path)
-	holds = claims(out, e.Judge(runs))
+	verdicts, err := experiment.Judge(h, runs)
+	if err != nil {
+		return false, err
+	}
+	holds = claims(out, verdicts)
 	table(out, h, runs)
 	fmt.Fprintln(out)
 	return holds, nil
@@ -153,7 +158,7 @@
 					all = append(all, err)
 					continue
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d points, %d seeds, %d contestants, %d claims\n", path, len(e.Points), e.Seeds, len(e.Contestants), len(e.Claims))
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d points, %d seeds, %d contestants, %d claims\n", path, len(e.Points), e.Seeds, len(e.Contestants), len(e.Claim))
 			}
 			return errors.Join(all...)
 		},
@@ -253,3 +258,32 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
+
+func labReport() *cobra.Command {
+	var out string
+	c := &cobra.Command{
+		Use:   "report RUN",
+		Short: "Write a run's report: one HTML file with tables and plots",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			h, runs, err := experiment.ReadRun(args[0])
+			if err != nil {
+				return err
+			}
+			if out == "" {
+				out = strings.TrimSuffix(args[0], ".jsonl") + ".html"
+			}
+			f, err := os.Create(out)
+			if err != nil {
+				return err
+			}
+			if err := errors.Join(report.Write(f, h, runs), f.Close()); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), out)
+			return err
+		},
+	}
+	c.Flags().StringVar(&out, "out", "", "the file to write; else the run's name with .html")
+	return c
+}
--- a/internal/lab/experiment/claim.go
+++ b/internal/lab/experiment/claim.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -17,11 +18,11 @@
 //	p99 of hazelwing <= 0.8 * p99 of round_robin
 //	breaks of hazelwing <= 0
 type Claim struct {
-	Says string `toml:"says"`
+	Says string `toml:"says" json:"says"`
 	// On is what it has to hold on: "each" seed (the default), the "mean" over the seeds, or "most" (nine in ten seeds); at
 	// every point of the sweep that Where leaves.
-	On    string `toml:"on"`
-	Where string `toml:"where"` // "FACTOR = VALUE": only there
+	On    string `toml:"on" json:"on"`
+	Where string `toml:"where" json:"where"` // "FACTOR = VALUE": only there
 }
 
 type claim struct {
@@ -134,66 +135,81 @@
 	On    string `json:"on"`
 	Holds bool   `json:"holds"`
 	// Of the seeds at all points (with "mean", of the points): how many hold, of how many, and the worst.
-	Good, Of int
-	Worst    string `json:"worst"`
+	Good  int    `json:"good"`
+	Of    int    `json:"of"`
+	Worst string `json:"worst"`
 }
 
 // mostShare of the seeds have to hold where a claim is on "most".
 const mostShare = 0.9
 
-// Judge judges all claims on the results of a whole run.
-func (e *Experiment) Judge(runs []Run) (out []Verdict) {
-	for _, c := range e.Claims {
-		v := Verdict{Says: c.Says, On: c.On}
-		if v.On == "" {
-			v.On = "each"
+// Judge judges the claims of a whole run.
+func Judge(h Header, runs []Run) (out []Verdict, err error) {
+	for i, claim := range h.Claims {
+		c, err := claim.parse(h.Contestants)
+		if err != nil {
+			return nil, fmt.Errorf("claim %d, %q: %w", i+1, claim.Says, err)
 		}
-		worst := math.Inf(1)
-		weigh := func(where string, left, right float64) {
-			margin := right - left
-			holds := margin > 0 || margin == 0 && strings.HasSuffix(c.op, "=")
-			if strings.HasPrefix(c.op, ">") {
-				margin = -margin
-				holds = margin > 0 || margin == 0 && strings.HasSuffix(c.op, "=")
-			}
-			v.Of++
-			if holds {
-				v.Good++
-			}
-			if margin < worst {
-				worst = margin
-				v.Worst = fmt.Sprintf("%.4g against %.4g at %s", left, right, where)
-			}
+		out = append(out, c.judge(h, runs))
+	}
+	return out, nil
+}
+
+// margin is by how much a claim holds; below 0 it does not, and at 0 only with an operator that allows it.
+func (c *claim) margin(left, right float64) (margin float64, holds bool) {
+	margin = right - left
+	if strings.HasPrefix(c.op, ">") {
+		margin = -margin
+	}
+	return margin, margin > 0 || margin == 0 && strings.HasSuffix(c.op, "=")
+}
+
+func (c *claim) judge(h Header, runs []Run) Verdict {
+	v := Verdict{Says: c.Says, On: cmp.Or(c.On, "each")}
+	worst := math.Inf(1)
+	weigh := func(where string, left, right float64) {
+		margin, holds := c.margin(left, right)
+		v.Of++
+		if holds {
+			v.Good++
 		}
-		for p, point := range e.Points {
-			if c.Where != "" && !slices.Contains(point.Factors, c.Where) {
-				continue
-			}
-			at := strings.Join(point.Factors, ", ")
-			lefts, rights, n := 0.0, 0.0, 0
-			for seed := range e.Seeds {
-				results := map[string]*world.Result{}
-				for _, r := range runs {
-					if r.Point == p && r.Seed == seed+1 {
-						results[r.Contestant] = r.Result
-					}
-				}
-				l, r := c.left.value(results), c.right.value(results)
-				lefts, rights, n = lefts+l, rights+r, n+1
-				if v.On != "mean" {
-					weigh(strings.TrimPrefix(fmt.Sprintf("%s, seed %d", at, seed+1), ", "), l, r)
-				}
-			}
-			if v.On == "mean" {
-				weigh(at, lefts/float64(n), rights/float64(n))
+		if margin < worst {
+			worst = margin
+			v.Worst = strings.TrimSuffix(fmt.Sprintf("%.4g against %.4g at %s", left, right, where), " at ")
+		}
+	}
+	for p, factors := range h.Points {
+		if c.Where != "" && !slices.Contains(factors, c.Where) {
+			continue
+		}
+		at := strings.Join(factors, ", ")
+		lefts, rights := 0.0, 0.0
+		for seed := 1; seed <= h.Seeds; seed++ {
+			results := h.results(runs, p, seed)
+			l, r := c.left.value(results), c.right.value(results)
+			lefts, rights = lefts+l, rights+r
+			if v.On != "mean" {
+				weigh(strings.TrimPrefix(fmt.Sprintf("%s, seed %d", at, seed), ", "), l, r)
 			}
 		}
-		need := v.Of
-		if v.On == "most" {
-			need = int(math.Ceil(mostShare * float64(v.Of)))
+		if v.On == "mean" {
+			weigh(at, lefts/float64(h.Seeds), rights/float64(h.Seeds))
 		}
-		v.Holds = v.Of > 0 && v.Good >= need
-		out = append(out, v)
+	}
+	need := v.Of
+	if v.On == "most" {
+		need = int(math.Ceil(mostShare * float64(v.Of)))
+	}
+	v.Holds = v.Of > 0 && v.Good >= need
+	return v
+}
+
+// results are all contestants' at a point with a seed; runs is whole, and so in order.
+func (h Header) results(runs []Run, point, seed int) map[string]*world.Result {
+	out := map[string]*world.Result{}
+	from := (point*h.Seeds + seed - 1) * len(h.Contestants)
+	for _, r := range runs[from : from+len(h.Contestants)] {
+		out[r.Contestant] = r.Result
 	}
 	return out
 }
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -162,7 +162,6 @@
 	Name   string
 	Hash   string // of what is played: the keys of the file and its base
 	Points []Setting
-	Claims []claim
 }
 
 // Setting is a point of the sweep: its factors' values, and its world.
@@ -200,11 +199,9 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	for i, c := range e.Claim {
-		x, err := c.parse(e.Contestants)
-		if err != nil {
+		if _, err := c.parse(e.Contestants); err != nil {
 			return nil, fmt.Errorf("%s: claim %d, %q: %w", path, i+1, c.Says, err)
 		}
-		e.Claims = append(e.Claims, x)
 	}
 	return e, nil
 }
@@ -229,7 +226,7 @@
 	if f.Base != "" {
 		base, err := load(filepath.Join(filepath.Dir(path), f.Base), depth-1)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%s: base: %w", path, err)
 		}
 		for _, own := range []string{"question", "found", "claim", "slow"} {
 			delete(base, own)
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -32,6 +32,7 @@
 	Sources     []string   `json:"sources"`
 	Seeds       int        `json:"seeds"`
 	Points      [][]string `json:"points"`
+	Claims      []Claim    `json:"claims"`
 }
 
 const format = "hazelwing-lab-1"
@@ -46,7 +47,8 @@
 }
 
 func (e *Experiment) header() Header {
-	h := Header{Format: format, Name: e.Name, Question: e.Question, Hash: e.Hash, Commit: commit(), Go: runtime.Version(), Contestants: e.Contestants, Seeds: e.Seeds}
+	h := Header{Format: format, Name: e.Name, Question: e.Question, Hash: e.Hash, Commit: commit(), Go: runtime.Version(), Contestants: e.Contestants, Seeds: e.Seeds,
+		Claims: e.Claim}
 	for _, c := range e.Contestants {
 		h.Sources = append(h.Sources, rival.Source(c))
 	}
--- a/internal/lab/world/result.go
+++ b/internal/lab/world/result.go
@@ -38,6 +38,9 @@
 	Broken []string `json:"broken,omitempty"` // rules, the first of them
 	Breaks int      `json:"breaks"`           // how many there were
 
+	// Quantiles are of served requests' latencies, at 0, 2, ... 98 per cent and then at 99, 99.5, 99.9 and 100.
+	Quantiles []float64 `json:"quantiles_ms"`
+
 	Seconds []Second `json:"seconds,omitempty"` // by when requests came
 	Events  uint64   `json:"events"`
 }
@@ -55,6 +58,14 @@
 	Held []int `json:"held"`
 }
 
+// Quantiles are what Result.Quantiles is at, in per cent.
+func Quantiles() (list []float64) {
+	for q := 0.0; q < 100; q += 2 {
+		list = append(list, q)
+	}
+	return append(list, 99, 99.5, 99.9, 100)
+}
+
 const (
 	mostBroken  = 20
 	longest     = int64(10 * time.Minute / time.Microsecond)
@@ -218,6 +229,9 @@
 	if mean > 0 {
 		r.Imbalance = most / mean
 	}
+	for _, q := range Quantiles() {
+		r.Quantiles = append(r.Quantiles, ms(m.all.ValueAtQuantile(q)))
+	}
 	for _, s := range m.seconds {
 		s.Service = 1
 		if s.worth > 0 {
