--- a/cmd/hazelwing/lab.go
+++ b/cmd/hazelwing/lab.go
@@ -1,3 +1,5 @@
+//go:build !small
+
 package main
 
 import (
@@ -26,6 +28,8 @@
 
 var errClaim = errors.New("a claim does not hold")
 
+func init() { more = append(more, labCommand) }
+
 func labCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "lab",
@@ -33,7 +37,7 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	c.AddCommand(labRun(), labCheck(), labList(), labShow(), labCompare(), labReport())
+	c.AddCommand(labRun(), labCheck(), labList(), labShow(), labCompare(), labReport(), labHunt())
 	return c
 }
 
--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -17,6 +17,10 @@
 	}
 }
 
+// more are the commands that a build with the tag "small" leaves out: the lab, whose plots and their fonts make up half of
+// the program.
+var more []func() *cobra.Command
+
 // root is the whole command line; each command has a file of its own.
 func root() *cobra.Command {
 	c := &cobra.Command{
@@ -29,6 +33,9 @@
 		SilenceErrors: true,
 	}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand(), labCommand())
+	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand(), loadCommand())
+	for _, command := range more {
+		c.AddCommand(command())
+	}
 	return c
 }
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -308,7 +308,7 @@
 			if err != nil {
 				return fmt.Errorf("sweep at %s: %w", strings.Join(at, ", "), err)
 			}
-			w, err := f.world()
+			w, err := f.Build()
 			if err != nil {
 				return err
 			}
@@ -362,8 +362,8 @@
 var effects = map[string]balancer.Effect{"": balancer.Safe, "safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe}
 var groups = map[string]balancer.Group{"": balancer.GroupAll, "all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell}
 
-// world is the file's as the lab plays it.
-func (f *File) world() (c world.Config, err error) {
+// Build is the world as the lab plays it, faults included.
+func (f *File) Build() (c world.Config, err error) {
 	d := func(x Duration) time.Duration { return time.Duration(x) }
 	w := &f.World
 	capacity := 0.0
--- /dev/null
+++ b/internal/lab/hunt/hunt_test.go
@@ -0,0 +1,78 @@
+package hunt
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"hazelwing/internal/lab/experiment"
+)
+
+const base = `question = "?"
+contestants = ["random", "least"]
+seeds = 2
+[world]
+length = "3s"
+load = 0.5
+instances = 1
+[world.nodes]
+count = 6
+zones = ["a", "b"]
+[world.class.c]
+share = 1.0
+work = "20ms"
+aim = "60ms"
+deadline = "1s"
+`
+
+// A hunt finds a day on which random choice loses to least requests, the same one again, and writes it so that it can be
+// played and its claim fails.
+func TestHunt(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "base.toml")
+	if err := os.WriteFile(path, []byte(base), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e, err := experiment.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Contestant: "random", Rival: "least", Tries: 24, Seed: 1, Cores: 2}
+	d, err := Hunt(t.Context(), e, o)
+	if err != nil || d.Loss < 0.02 || len(d.Faults) > mostFaults {
+		t.Fatalf("%+v, %v", d, err)
+	}
+	if again, err := Hunt(t.Context(), e, o); err != nil || !reflect.DeepEqual(again, d) {
+		t.Errorf("another day: %+v, %v", again, err)
+	}
+	text, err := Experiment(e, o, d, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := filepath.Join(dir, "found.toml")
+	if err := os.WriteFile(found, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	x, err := experiment.Load(found)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	run := filepath.Join(dir, "run")
+	runs, err := x.Play(t.Context(), run, 2, func(int, int) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, _, err := experiment.ReadRun(run)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := experiment.Judge(h, runs)
+	if err != nil || v[0].Holds || !v[1].Holds {
+		t.Errorf("%+v, %v\n%s", v, err, text)
+	}
+	if _, err := Hunt(t.Context(), e, Options{Contestant: "luck", Rival: "least", Tries: 1}); err == nil || !strings.Contains(err.Error(), "luck") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -42,13 +42,14 @@
 	}
 	l.total++
 	l.runs[j.ID]++
-	if j.Effect == Unsafe && l.runs[j.ID] > 1 {
-		l.breaks("%s %s ran %d times", j.Class, j.ID, l.runs[j.ID])
-	}
 	if j.Effect != Safe && j.Key != "" {
-		if l.keyRuns[j.Key]++; l.keyRuns[j.Key] > 1 {
-			l.breaks("%s with key %s ran %d times", j.Class, j.Key, l.keyRuns[j.Key])
-		}
+		l.keyRuns[j.Key]++
+	}
+	switch {
+	case j.Effect == Unsafe && l.runs[j.ID] > 1:
+		l.breaks("%s %s ran %d times", j.Class, j.ID, l.runs[j.ID])
+	case l.keyRuns[j.Key] > 1 && j.Effect != Safe:
+		l.breaks("%s with key %s ran %d times", j.Class, j.Key, l.keyRuns[j.Key])
 	}
 	if j.Effect == Keyed {
 		if l.keys[zone] == nil {
--- a/internal/standin/replay.go
+++ b/internal/standin/replay.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"context"
 	"fmt"
-	"math"
-	"slices"
 	"sync"
 	"time"
+
+	"hazelwing/internal/load"
 )
 
 // Kind says how a request ended for its client.
@@ -35,41 +35,37 @@
 	Service        float64       // worth answered in time, or late at a share, over the worth asked for
 	P50, P99, P999 time.Duration // of all requests, whatever their end
 
-	grace     time.Duration
-	mu        sync.Mutex
-	worth     float64
-	won       float64
-	latencies []time.Duration
+	grace time.Duration
+	mu    sync.Mutex
+	worth float64
+	won   float64
+	took  *load.Histogram
 }
 
-// maxOpen bounds the requests that a replay has open; more wait, and are late.
+// maxOpen bounds the requests that a replay has open; those beyond are not sent, and count as unanswered.
 const maxOpen = 4096
 
 // Replay plays traffic at its own pace, whatever the answers do, and returns when all have come. An answer that comes
 // later than grace after its client's time is none. Worth counts by unit of work, as booking sites do.
 func Replay(ctx context.Context, t *Traffic, grace time.Duration, do Do) *Report {
-	r := &Report{grace: grace}
+	r := &Report{grace: grace, took: load.NewHistogram()}
 	classes := map[string]TrafficClass{}
 	for _, c := range t.Classes {
 		classes[c.Name] = c
 	}
-	begun := time.Now()
-	places := make(chan struct{}, maxOpen)
-	var all sync.WaitGroup
-	for n, q := range t.Requests {
-		select {
-		case <-time.After(time.Until(begun.Add(q.At()))):
-		case <-ctx.Done():
-			all.Wait()
-			return r.close()
+	next := func(n int) (time.Duration, bool) {
+		if n >= len(t.Requests) {
+			return 0, false
 		}
-		places <- struct{}{}
-		all.Go(func() {
-			defer func() { <-places }()
-			r.one(ctx, n, classes[q.Class], q, begun.Add(q.At()), do)
-		})
+		return t.Requests[n].At(), true
 	}
-	all.Wait()
+	load.Pace(ctx, next, maxOpen, func(n int, intended time.Time) {
+		q := t.Requests[n]
+		r.one(ctx, n, classes[q.Class], q, intended, do)
+	}, func(n int, intended time.Time) {
+		q := t.Requests[n]
+		r.one(ctx, n, classes[q.Class], q, intended, func(context.Context, int, TrafficClass, Request) Kind { return Unanswered })
+	})
 	return r.close()
 }
 
@@ -87,7 +83,7 @@
 	defer r.mu.Unlock()
 	r.Asked++
 	r.worth += worth
-	r.latencies = append(r.latencies, took)
+	r.took.Add(took)
 	switch kind {
 	case Served:
 		r.Served++
@@ -110,19 +106,11 @@
 func (r *Report) close() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	slices.Sort(r.latencies)
 	r.Service = r.won / cmp.Or(r.worth, 1)
-	r.P50, r.P99, r.P999 = r.at(0.5), r.at(0.99), r.at(0.999)
+	r.P50, r.P99, r.P999 = r.took.At(0.5), r.took.At(0.99), r.took.At(0.999)
 	return r
 }
 
-func (r *Report) at(share float64) time.Duration {
-	if len(r.latencies) == 0 {
-		return 0
-	}
-	return r.latencies[min(len(r.latencies)-1, int(math.Ceil(share*float64(len(r.latencies))))-1)]
-}
-
 func (r *Report) String() string {
 	return fmt.Sprintf("service %.4f, %d asked: %d served (%d in time), %d refused, %d failed, %d unanswered; p50 %v, p99 %v, p99.9 %v",
 		r.Service, r.Asked, r.Served, r.InTime, r.Refused, r.Failed, r.Unanswered,
