--- a/internal/ledger/guard/guard_test.go
+++ b/internal/ledger/guard/guard_test.go
@@ -231,7 +231,7 @@
 func TestSlowSync(t *testing.T) {
 	fs := faultfs.New()
 	r := life(t, newMachine(), fs, nil)
-	fs.SetSyncTime(2 * time.Second)
+	fs.Set(func(f *faultfs.FS) { f.SyncTime = 2 * time.Second })
 	begun := time.Now()
 	unsafe := r.call("book", "k")
 	const others = 600
@@ -247,7 +247,7 @@
 	if len(unsafe) > 0 {
 		t.Fatal("no durable intent, and an answer")
 	}
-	fs.SetSyncTime(0)
+	fs.Set(func(f *faultfs.FS) { f.SyncTime = 0 })
 	if a := r.attempt(); time.Since(begun) < 2*time.Second {
 		t.Errorf("it went out after %v", time.Since(begun))
 	} else {
@@ -263,7 +263,7 @@
 func TestLeftWhileItWaits(t *testing.T) {
 	fs := faultfs.New()
 	r := life(t, newMachine(), fs, nil)
-	fs.SetSyncTime(200 * time.Millisecond)
+	fs.Set(func(f *faultfs.FS) { f.SyncTime = 200 * time.Millisecond })
 	ctx, leave := context.WithCancel(t.Context())
 	done := make(chan engine.Result, 1)
 	go func() {
@@ -276,7 +276,7 @@
 	if len(r.wire.sent) > 0 {
 		t.Error("it went out")
 	}
-	fs.SetSyncTime(0)
+	fs.Set(func(f *faultfs.FS) { f.SyncTime = 0 })
 	again := r.call("book", "k")
 	r.attempt().answer()
 	r.want(again, engine.Served, "the same again")
@@ -291,8 +291,12 @@
 // says so. Safe ones are served, and once the disk is back all is as before, by itself.
 func TestTrouble(t *testing.T) {
 	for name, fail := range map[string]func(fs *faultfs.FS, on bool){
-		"full": func(fs *faultfs.FS, on bool) { fs.SetSpace(map[bool]int64{true: 0, false: -1}[on]) },
-		"sync": func(fs *faultfs.FS, on bool) { fs.SetFailSyncs(map[bool]int{true: 1 << 30}[on]) },
+		"full": func(fs *faultfs.FS, on bool) {
+			fs.Set(func(f *faultfs.FS) { f.Space = map[bool]int64{true: 0, false: -1}[on] })
+		},
+		"sync": func(fs *faultfs.FS, on bool) {
+			fs.Set(func(f *faultfs.FS) { f.FailSyncs = map[bool]int{true: 1 << 30}[on] })
+		},
 	} {
 		for _, choice := range []Trouble{Refuse, Continue} {
 			t.Run(name+" "+string(choice), func(t *testing.T) {
--- a/internal/standin/faultfs/faultfs.go
+++ b/internal/standin/faultfs/faultfs.go
@@ -328,25 +328,11 @@
 	f.put(name, data)
 }
 
-// SetFailSyncs, SetSpace and SetSyncTime change the fields while the file system is in use.
-func (f *FS) SetFailSyncs(n int) {
+// Set changes fields while the file system is in use.
+func (f *FS) Set(change func(f *FS)) {
 	f.mu.Lock()
-	f.FailSyncs = n
-	f.mu.Unlock()
-}
-
-// SetSpace is described at SetFailSyncs.
-func (f *FS) SetSpace(n int64) {
-	f.mu.Lock()
-	f.Space = n
-	f.mu.Unlock()
-}
-
-// SetSyncTime is described at SetFailSyncs.
-func (f *FS) SetSyncTime(d time.Duration) {
-	f.mu.Lock()
-	f.SyncTime = d
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	change(f)
 }
 
 // Content is a copy of a file's.
--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -245,24 +245,29 @@
 			if err := m.check(s, keys); err != nil {
 				t.Fatalf("seed %d, life %d: %v", seed, life, err)
 			}
-			fs.CrashAfter = fs.Steps + rng.Int64N(4000)
+			steps := rng.Int64N(4000)
+			fs.Set(func(f *faultfs.FS) { f.CrashAfter = f.Steps + steps })
 			for i := range 60 {
 				switch rng.IntN(12) {
 				case 0:
-					fs.FailSyncs = rng.IntN(3)
+					n := rng.IntN(3)
+					fs.Set(func(f *faultfs.FS) { f.FailSyncs = n })
 				case 1:
-					fs.FailWrites = rng.IntN(3)
+					n := rng.IntN(3)
+					fs.Set(func(f *faultfs.FS) { f.FailWrites = n })
 				case 2:
-					fs.Space = rng.Int64N(4000)
+					n := rng.Int64N(4000)
+					fs.Set(func(f *faultfs.FS) { f.Space = n })
 				case 3:
-					fs.Space = -1
+					fs.Set(func(f *faultfs.FS) { f.Space = -1 })
 				}
 				key := keys[rng.IntN(len(keys))]
 				switch rng.IntN(8) {
 				case 0, 1:
 					m.did(key, nil, s.Delete(key))
 				case 2:
-					fs.FailRemoves = rng.IntN(2) * rng.IntN(3)
+					n := rng.IntN(2) * rng.IntN(3)
+					fs.Set(func(f *faultfs.FS) { f.FailRemoves = n })
 					if s.Maintain(); rng.IntN(2) == 0 {
 						s.Compact()
 					}
--- a/internal/store/maintain_test.go
+++ b/internal/store/maintain_test.go
@@ -149,7 +149,7 @@
 	m, keys := newModel(), []string{"a", "b", "c"}
 	for i := range 30 {
 		if i == 20 {
-			fs.SetFailSyncs(1)
+			fs.Set(func(f *faultfs.FS) { f.FailSyncs = 1 })
 		}
 		key, value := keys[i%3], fmt.Append(nil, i)
 		m.did(key, value, s.Put(key, value, epoch.Add(time.Hour)))
@@ -185,7 +185,7 @@
 		t.Fatal("it was not taken")
 	}
 	fixture.Until(t, "what was left for later", func() bool { _, ok, _ := s.Get("later"); return ok })
-	fs.SetSyncTime(50 * time.Millisecond)
+	fs.Set(func(f *faultfs.FS) { f.SyncTime = 50 * time.Millisecond })
 	n := 0
 	for ; n < 20_000 && s.DeleteLater("x"); n++ {
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -103,7 +104,7 @@
 		{event{Verb: "Heard", By: 2, Contents: "hi"}, balancer.Peer{From: 2, Message: "hi"}},
 		{event{Verb: "Wakeup"}, balancer.Wake{}},
 	} {
-		if got := h.translate(&c.e); got != c.want {
+		if got := h.translate(&c.e); !reflect.DeepEqual(got, c.want) {
 			t.Errorf("%s: %+v, want %+v", c.e.Verb, got, c.want)
 		}
 	}
