--- /dev/null
+++ b/cmd/hazelwing/lab_test.go
@@ -0,0 +1,77 @@
+//go:build !small
+
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const labText = `question = "Does it run?"
+contestants = ["p2c", "random"]
+seeds = 5
+[world]
+length = "2s"
+load = 0.5
+instances = 1
+[world.nodes]
+count = 4
+[world.class.c]
+share = 1.0
+work = "10ms"
+aim = "50ms"
+deadline = "1s"
+`
+
+// An experiment is checked, listed, played, shown, reported and compared; a claim that does not hold is the status, and a
+// hunt does not write over what was found before.
+func TestLabCommands(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := write("good.toml", labText+"[[claim]]\nsays = \"service of p2c >= 0\"\n")
+	runs := filepath.Join(dir, "runs")
+	want := func(wanted string, args ...string) {
+		t.Helper()
+		if out, err := execute(args...); err != nil || !strings.Contains(out, wanted) {
+			t.Errorf("%q: %v\n%s", args, err, out)
+		}
+	}
+	want("1 points, 5 seeds, 2 contestants, 1 claims", "lab", "check", good)
+	want("Does it run?", "lab", "list", dir)
+	want("holds  service of p2c >= 0 (on each: 5 of 5", "lab", "run", "--out", runs, good)
+	files, err := filepath.Glob(filepath.Join(runs, "good-*.jsonl"))
+	if err != nil || len(files) != 1 {
+		t.Fatal(files, err)
+	}
+	want("random", "lab", "show", files[0])
+	want("noise", "lab", "compare", files[0], files[0])
+	page := filepath.Join(dir, "page.html")
+	want(page, "lab", "report", files[0], "--out", page)
+	if b, err := os.ReadFile(page); err != nil || !strings.Contains(string(b), "<svg") {
+		t.Error(err)
+	}
+	bad := write("bad.toml", labText+"[[claim]]\nsays = \"service of p2c >= 2\"\n")
+	if out, err := execute("lab", "run", "--out", runs, bad); err != errClaim || !strings.Contains(out, "FAILS") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	found := filepath.Join(dir, "found", "day.toml")
+	want("loses", "lab", "hunt", good, "--contestant", "random", "--tries", "4", "--out", found)
+	want("2 contestants, 2 claims", "lab", "check", found)
+	if _, err := execute("lab", "hunt", good, "--contestant", "random", "--tries", "1", "--out", found); err == nil || !strings.Contains(err.Error(), found) {
+		t.Errorf("what was found is written over: %v", err)
+	}
+	for _, args := range [][]string{{"check", write("odd.toml", labText+"[[clam]]\n")}, {"run", filepath.Join(dir, "absent.toml")}, {"show", good}, {"list", runs},
+		{"hunt", good, "--tries", "0"}} {
+		if _, err := execute(append([]string{"lab"}, args...)...); err == nil {
+			t.Errorf("%q: no error", args)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,78 @@
+package report
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"golang.org/x/net/html"
+
+	"hazelwing/internal/lab/experiment"
+)
+
+const text = `question = "Is <b>that</b> so?"
+contestants = ["p2c", "random"]
+seeds = 2
+[sweep]
+"world.load" = [0.4, 0.8]
+[world]
+length = "4s"
+load = 0.5
+instances = 2
+[world.nodes]
+count = 4
+[world.class.c]
+share = 1.0
+work = "10ms"
+aim = "50ms"
+deadline = "1s"
+[[claim]]
+says = "service of p2c >= 0"
+[[claim]]
+says = "service of p2c >= 2"
+`
+
+// The report is one page that asks for nothing else, has the claims before the figures, every plot, and what it was told
+// as text.
+func TestWrite(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "x.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e, err := experiment.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := e.Play(t.Context(), filepath.Join(dir, "run"), 2, func(int, int) {}); err != nil {
+		t.Fatal(err)
+	}
+	h, runs, err := experiment.ReadRun(filepath.Join(dir, "run"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	runs[1].Result.Broken, runs[1].Result.Breaks = []string{"a <script> ran"}, 1
+	var out bytes.Buffer
+	if err := Write(&out, h, runs); err != nil {
+		t.Fatal(err)
+	}
+	page := out.String()
+	if _, err := html.Parse(strings.NewReader(page)); err != nil {
+		t.Error(err)
+	}
+	// The sweep has three plots; each of two points six time lines, the latencies, and a map for each contestant.
+	if n := strings.Count(page, "<svg"); n != 3+2*(6+1+2) || strings.Contains(page, "<?xml") {
+		t.Errorf("%d plots", n)
+	}
+	if regexp.MustCompile(`(?i)(src|href)=|<script|@import|url\(`).MatchString(page) {
+		t.Error("the page asks for something else")
+	}
+	broke, claims, figures := strings.Index(page, "a &lt;script&gt; ran"), strings.Index(page, "service of p2c &gt;= 2"), strings.Index(page, "<h2>world.load = 0.4")
+	if broke < 0 || claims < broke || figures < claims || !strings.Contains(page, "Is &lt;b&gt;that&lt;/b&gt; so?") ||
+		strings.Count(page, `class="fails">fails`) != 1 || strings.Count(page, `class="holds">holds`) != 1 {
+		t.Errorf("broken at %d, claims at %d, figures at %d", broke, claims, figures)
+	}
+}
