--- a/internal/ledger/guard/guard_test.go
+++ b/internal/ledger/guard/guard_test.go
@@ -397,6 +397,20 @@
 	}
 }
 
+// It was ended before its intent was asked for, and nothing has to be written: it does not go out all the same.
+func TestEndedBeforeItBegan(t *testing.T) {
+	r := life(t, newMachine(), nil, func(c *Config) { c.Durability, c.FS = Off, nil })
+	c := &engine.Call{ID: "1", Class: "book"}
+	if _, ok := r.g.arrive(fingerprint(c), c); !ok {
+		t.Fatal("it was not let on")
+	}
+	x := &exchange{g: r.g, fp: fingerprint(c), ends: time.Now().Add(fixture.Patience), over: make(chan struct{})}
+	x.stop()
+	if _, err := x.intend(); !errors.Is(err, errGivenUp) || r.g.State().Open != 0 {
+		t.Errorf("%v, %+v", err, r.g.State())
+	}
+}
+
 // Another process has the directory.
 func TestLocked(t *testing.T) {
 	fs, m := faultfs.New(), newMachine()
