A record that is written after its client left is taken back after it: tested

Taking out the wait before an abandoned intent is taken back went unnoticed: its delete could then be written before its put, and a request that never went out would be failed after a restart.

The test lets a client leave while its intent queues behind another's sync, and reads the directory afterwards: only the other's record is there.

--- a/internal/ledger/guard/guard_test.go
+++ b/internal/ledger/guard/guard_test.go
@@ -287,6 +287,31 @@
 	}
 }
 
+// Its client leaves while its intent waits behind another's sync: the record is written all the same, and is taken back
+// after that, not before.
+func TestLeftWhileItQueues(t *testing.T) {
+	fs := faultfs.New()
+	r := life(t, newMachine(), fs, nil)
+	fs.Set(func(f *faultfs.FS) { f.SyncTime = 200 * time.Millisecond })
+	first := r.call("book", "first")
+	fixture.Until(t, "its intent", func() bool { return r.g.State().Open == 1 })
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan engine.Result, 1)
+	go func() {
+		done <- r.do.Do(ctx, &engine.Call{ID: "1", Class: "book", Identity: "k", Expires: time.Now().Add(fixture.Patience)})
+	}()
+	fixture.Until(t, "the other's intent", func() bool { return r.g.State().Open == 2 })
+	leave()
+	r.want(done, engine.Left, "the one that left")
+	r.attempt().answer()
+	r.want(first, engine.Served, "the first")
+	fixture.Until(t, "its end", func() bool { return r.g.State().Open == 0 })
+	r.stop()
+	if list, err := Inspect(fs); err != nil || len(list) != 1 || list[0].State != "ran" {
+		t.Errorf("%+v, %v", list, err)
+	}
+}
+
 // The disk fills up, or fails: by choice unsafe requests are refused and nothing goes out, or they go on and the state
 // says so. Safe ones are served, and once the disk is back all is as before, by itself.
 func TestTrouble(t *testing.T) {
