--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -269,7 +269,15 @@
 
 // Experiment is a day as an experiment's text, over the one that it was found from, for a file in dir.
 func Experiment(e *experiment.Experiment, o Options, d Day, dir string) ([]byte, error) {
-	base, err := filepath.Rel(dir, e.Path)
+	from, err := filepath.Abs(dir)
+	if err != nil {
+		return nil, err
+	}
+	to, err := filepath.Abs(e.Path)
+	if err != nil {
+		return nil, err
+	}
+	base, err := filepath.Rel(from, to)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/hunt/hunt_test.go
+++ b/internal/lab/hunt/hunt_test.go
@@ -15,7 +15,8 @@
 // played and its claim fails.
 func TestHunt(t *testing.T) {
 	dir := t.TempDir()
-	path := filepath.Join(dir, "base.toml")
+	t.Chdir(dir)
+	path := "base.toml" // relative, where the found day's folder is not
 	if err := os.WriteFile(path, []byte(fixture.Experiment("?", "random", "least", 2)), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -26,14 +26,8 @@
 		return
 	case "silent":
 		for _, i := range w.instances {
-			i.silent = w.now + f.For
-			w.at(i.silent, func() {
-				news := i.news
-				i.news = nil
-				for _, do := range news {
-					do()
-				}
-			})
+			i.silent = max(i.silent, w.now+f.For)
+			w.at(i.silent, i.listen)
 		}
 		return
 	case "empty":
@@ -45,7 +39,9 @@
 	case "stall":
 		n := max(1, int(f.Share*float64(len(w.instances))+0.5))
 		for _, x := range w.chance.Perm(len(w.instances))[:min(n, len(w.instances))] {
-			w.instances[x].stalled = w.now + f.For
+			i := w.instances[x]
+			i.stalled = max(i.stalled, w.now+f.For)
+			w.at(i.stalled, i.listen)
 		}
 		return
 	case "cost":
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -22,7 +22,7 @@
 	told    []time.Duration
 	stalled time.Duration // it handles nothing until then
 	silent  time.Duration // the list tells it nothing until then
-	news    []func()      // that waits for the end of silence
+	news    []func()      // that waits for the end of silence, or of a stall
 	weight  float64
 	number  int
 	ending  bool
@@ -319,11 +319,22 @@
 	}
 }
 
-// hear takes news of the list, or keeps it until silence ends.
+// hear takes news of the list, or keeps it until silence ends or the host goes on. Then it goes before all else that
+// waits, as in the engine.
 func (i *instance) hear(news func()) {
-	if i.w.now < i.silent {
-		i.news = append(i.news, news)
+	i.news = append(i.news, news)
+	i.listen()
+}
+
+// listen takes all news that can be heard by now. It is called at the end of silence and of a stall, before anything that
+// came meanwhile: those who call it asked for that time first.
+func (i *instance) listen() {
+	if i.w.now < i.silent || i.w.now < i.stalled {
 		return
 	}
-	news()
+	news := i.news
+	i.news = nil
+	for _, do := range news {
+		do()
+	}
 }
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -143,3 +143,19 @@
 		}
 	}
 }
+
+// A host that stands still reads the list first when it goes on: what was asked of it meanwhile is not sent to who has
+// left. Found by a hunt, in the model.
+func TestStalledHostReadsTheListFirst(t *testing.T) {
+	c := Trouble(3, 200)
+	c.Faults = nil
+	for i := range 4 {
+		at := time.Duration(2+4*i) * time.Second
+		c.Faults = append(c.Faults, Fault{At: at, What: "stall", Share: 1, For: 3 * time.Second},
+			Fault{At: at + 100*ms, What: "crash", Node: fmt.Sprint("n", i)}, Fault{At: at + 100*ms, What: "drain", Node: fmt.Sprint("n", i+4)})
+	}
+	r, err := Run(c, hazelwing, 1)
+	if err != nil || r.Breaks > 0 {
+		t.Errorf("%v, %q", err, r.Broken)
+	}
+}
