--- a/internal/load/pace.go
+++ b/internal/load/pace.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,8 +19,10 @@
 const (
 	longest = int64(10 * time.Minute / time.Microsecond)
 	figures = 3
-	// spinBelow is how near its time a request is waited for without sleeping: timers are late by about as much.
-	spinBelow = 50 * time.Microsecond
+	// The runtime's timers are late by up to a millisecond: so near its time a request is waited for in the kernel, whose
+	// are late by some tens of microseconds, and in the end without sleeping.
+	sleepBelow = 1500 * time.Microsecond
+	spinBelow  = 80 * time.Microsecond
 )
 
 // Histogram is one of times, in microseconds, up to ten minutes. It may be used from any goroutine.
@@ -75,8 +78,8 @@
 			return p
 		}
 		intended := begun.Add(at)
-		if d := time.Until(intended); d > spinBelow {
-			timer.Reset(d - spinBelow)
+		if d := time.Until(intended); d > sleepBelow {
+			timer.Reset(d - sleepBelow)
 			select {
 			case <-timer.C:
 			case <-ctx.Done():
@@ -85,6 +88,10 @@
 		} else if ctx.Err() != nil {
 			return p
 		}
+		if d := time.Until(intended); d > spinBelow {
+			left := syscall.NsecToTimespec(int64(d - spinBelow))
+			syscall.Nanosleep(&left, nil) // one that a signal cuts short is made up for below
+		}
 		for time.Until(intended) > 0 {
 		}
 		select {
