Store: two more guards that no test noticed

The order of what is left for later beside what is asked for after it, and the file that a failed try would leave; each test fails without its guard.

--- a/internal/store/maintain_test.go
+++ b/internal/store/maintain_test.go
@@ -185,6 +185,9 @@
 		t.Fatal("it was not taken")
 	}
 	fixture.Until(t, "what was left for later", func() bool { _, ok, _ := s.Get("later"); return ok })
+	if _, ok, err := s.Get("k"); !ok || err != nil {
+		t.Errorf("an older delete took a newer put, later (%v)", err)
+	}
 	fs.Set(func(f *faultfs.FS) { f.SyncTime = 50 * time.Millisecond })
 	n := 0
 	for ; n < 20_000 && s.DeleteLater("x"); n++ {
@@ -225,3 +228,22 @@
 		reopen(t, fmt.Sprint("power lost after Close, seed ", seed), fs.PowerLost(rand.New(rand.NewPCG(seed, 1))), m, keys)
 	}
 }
+
+// A disk with room for a segment's header and no record: a try leaves no file behind.
+func TestNoFileForEachTry(t *testing.T) {
+	fs := faultfs.New()
+	s, err := store.Open(fs, options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	fs.Set(func(f *faultfs.FS) { f.Space = 30 })
+	for range 20 {
+		if s.Put("k", []byte("value"), epoch.Add(time.Hour)) == nil {
+			t.Fatal("a full disk takes more")
+		}
+	}
+	if names, _ := fs.List(); len(names) > 1 || s.Stats().Segments > 1 {
+		t.Errorf("%v, %+v", names, s.Stats())
+	}
+}
