One strict TOML reader, one maker of requests, and state that nothing read

The operator's file and the lab's experiments each turned go-toml's errors into places and had a Duration of their own: internal/strict is both. The load generator and the stand-ins' client each built the platform's request: load.Message is both. The ledger's records were parsed in two places, the looser of which took a short key for a fingerprint, and their latest time was worked out in three. The daemon's tests started a sidecar in two ways.

Gone: fields of the lab's world that were written and never read, and operator.Admin.Loopback, which nobody called. The admin endpoint sorted the waits twice under the ledger's lock; it sorts a copy once, outside.

--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,26 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := build(loadText(t, fmt.Sprintf(fixture.Config, fixture.NoAddr, upstream)), op, quietLog)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r = &running{sidecar: s, url: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{}, Timeout: fixture.Patience}}
-	ctx, end := context.WithCancel(context.Background())
-	ran := make(chan struct{})
-	go func() { s.engine.Run(ctx); close(ran) }()
-	go s.front.Serve(ctx, l, 100, quietLog)
-	return r, func() {
-		end()
-		<-ran
-		if err := s.close(); err != nil {
-			t.Error(err)
-		}
-	}
+	return run(t, loadText(t, fmt.Sprintf(fixture.Config, fixture.NoAddr, upstream)), op)
 }
 
 // With the ledger unsafe requests may bring a key, and a repeat of what may have run is failed at once, also by the next
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -42,7 +42,15 @@
 func startSidecar(t *testing.T, discovery, upstream string, change ...string) *running {
 	t.Helper()
 	cfg := loadText(t, strings.NewReplacer(change...).Replace(fmt.Sprintf(fixture.Config, discovery, upstream)))
-	s, err := build(cfg, new(operator.Config), quietLog)
+	r, stop := run(t, cfg, new(operator.Config))
+	t.Cleanup(stop)
+	return r
+}
+
+// run runs a sidecar until stop.
+func run(t *testing.T, cfg *platform.Config, op *operator.Config) (r *running, stop func()) {
+	t.Helper()
+	s, err := build(cfg, op, quietLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,18 +58,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	r := &running{sidecar: s, url: "http://" + listener.Addr().String(),
+	ctx, end := context.WithCancel(context.Background())
+	r = &running{sidecar: s, url: "http://" + listener.Addr().String(),
 		client: &http.Client{Transport: &http.Transport{}, Timeout: fixture.Patience}}
 	ran := make(chan struct{})
 	go func() { s.engine.Run(ctx); close(ran) }()
 	go s.front.Serve(ctx, listener, cfg.Limits.ClientConns(), quietLog)
-	t.Cleanup(func() {
+	return r, func() {
 		r.client.CloseIdleConnections()
-		stop()
+		end()
 		<-ran
-	})
-	return r
+		if err := s.close(); err != nil {
+			t.Error(err)
+		}
+	}
 }
 
 func (r *running) request(t *testing.T, method, class, id, body string) *http.Request {
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -6,7 +6,6 @@
 package experiment
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,6 +25,7 @@
 	"hazelwing/balancer"
 	"hazelwing/internal/lab/rival"
 	"hazelwing/internal/lab/world"
+	"hazelwing/internal/strict"
 )
 
 // File is an experiment as it is written.
@@ -44,7 +44,7 @@
 
 // World is a world as it is written. Times are as Go writes them.
 type World struct {
-	Length    Duration           `toml:"length"`
+	Length    strict.Duration    `toml:"length"`
 	Load      float64            `toml:"load"` // work asked for, over what the nodes can do
 	Rate      float64            `toml:"rate"` // in its place: requests a second
 	Instances int                `toml:"instances"`
@@ -69,92 +69,76 @@
 
 // Clients, Network, List, Rules and Settings are described at the world's.
 type Clients struct {
-	Tries    int      `toml:"tries"`
-	TryShare float64  `toml:"try_share"`
-	Wait     Duration `toml:"wait"`
-	Uneven   float64  `toml:"uneven"` // Zipf's exponent of the instances' traffic; 0: alike
-	Keys     int      `toml:"keys"`
-	Curve    []Point  `toml:"curve"`
+	Tries    int             `toml:"tries"`
+	TryShare float64         `toml:"try_share"`
+	Wait     strict.Duration `toml:"wait"`
+	Uneven   float64         `toml:"uneven"` // Zipf's exponent of the instances' traffic; 0: alike
+	Keys     int             `toml:"keys"`
+	Curve    []Point         `toml:"curve"`
 }
 
 // Point is one of the curve that the rate follows.
 type Point struct {
-	At    Duration `toml:"at"`
-	Times float64  `toml:"times"`
+	At    strict.Duration `toml:"at"`
+	Times float64         `toml:"times"`
 }
 
 // Network is described at Clients.
 type Network struct {
-	Same, Cross    Duration
-	Jitter         Duration
+	Same, Cross    strict.Duration
+	Jitter         strict.Duration
 	Loss           float64
-	ConnectTimeout Duration `toml:"connect_timeout"`
-	Idle           Duration
+	ConnectTimeout strict.Duration `toml:"connect_timeout"`
+	Idle           strict.Duration
 }
 
 // List is described at Clients.
-type List struct{ Least, Most Duration }
+type List struct{ Least, Most strict.Duration }
 
 // Rules is described at Clients.
 type Rules struct {
-	ColdFrom     float64  `toml:"cold_from"`
-	WarmUp       Duration `toml:"warm_up"`
-	FallMultiple float64  `toml:"fall_multiple"`
-	FallTime     Duration `toml:"fall_time"`
-	DrainGrace   Duration `toml:"drain_grace"`
+	ColdFrom     float64         `toml:"cold_from"`
+	WarmUp       strict.Duration `toml:"warm_up"`
+	FallMultiple float64         `toml:"fall_multiple"`
+	FallTime     strict.Duration `toml:"fall_time"`
+	DrainGrace   strict.Duration `toml:"drain_grace"`
 }
 
 // Settings is described at Clients.
 type Settings struct {
-	Tick       Duration
+	Tick       strict.Duration
 	Attempts   int
 	Copies     bool
 	Cancelling bool
 	Probes     bool
-	RetryAfter Duration `toml:"retry_after"`
-	CrossZone  float64  `toml:"cross_zone"`
+	RetryAfter strict.Duration `toml:"retry_after"`
+	CrossZone  float64         `toml:"cross_zone"`
 }
 
 // Traffic is a class's.
 type Traffic struct {
 	Share, Worth, Late float64
-	Work               Duration
+	Work               strict.Duration
 	Kind               string
 	Spread             float64
 	Hint               float64
-	Aim, Deadline      Duration
+	Aim, Deadline      strict.Duration
 	Effect, Group      string
-	Window             Duration
+	Window             strict.Duration
 }
 
 // Fault is one of the world's.
 type Fault struct {
-	At    Duration
+	At    strict.Duration
 	What  string
 	Node  string
 	Zone  string
 	Share float64
 	Times float64
-	For   Duration
-	Every Duration
+	For   strict.Duration
+	Every strict.Duration
 }
 
-// Duration is written as Go writes it.
-type Duration time.Duration
-
-// UnmarshalText reads one.
-func (d *Duration) UnmarshalText(text []byte) error {
-	x, err := time.ParseDuration(string(text))
-	*d = Duration(x)
-	if err != nil {
-		return fmt.Errorf("%q is no time such as \"100ms\" or \"10s\"", text)
-	}
-	return nil
-}
-
-// MarshalText writes one.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
 // Experiment is a file that was read and can be played.
 type Experiment struct {
 	File
@@ -216,7 +200,7 @@
 		return nil, err
 	}
 	var f File
-	if err := strict(text, &f); err != nil {
+	if err := read(text, &f); err != nil {
 		return nil, fmt.Errorf("%s:%w", path, err)
 	}
 	tree := map[string]any{}
@@ -250,20 +234,12 @@
 	return out
 }
 
-// strict decodes a text, and says where it cannot.
-func strict(text []byte, v any) error {
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(v)
-	var one *toml.DecodeError
-	var missing *toml.StrictMissingError
-	switch {
-	case errors.As(err, &missing):
-		line, column := missing.Errors[0].Position()
-		return fmt.Errorf("%d:%d: no such key: %s", line, column, strings.Join(missing.Errors[0].Key(), "."))
-	case errors.As(err, &one):
-		line, column := one.Position()
-		return fmt.Errorf("%d:%d: %s", line, column, strings.TrimPrefix(one.Error(), "toml: "))
+// read decodes a text strictly; the first fault is its error.
+func read(text []byte, v any) error {
+	if faults := strict.Decode(text, v); len(faults) > 0 {
+		return faults[0]
 	}
-	return err
+	return nil
 }
 
 func decode(tree map[string]any) (f File, err error) {
@@ -271,7 +247,7 @@
 	if err != nil {
 		return f, err
 	}
-	return f, strict(text, &f)
+	return f, read(text, &f)
 }
 
 func (e *Experiment) check() error {
@@ -364,7 +340,7 @@
 
 // Build is the world as the lab plays it, faults included.
 func (f *File) Build() (c world.Config, err error) {
-	d := func(x Duration) time.Duration { return time.Duration(x) }
+	d := func(x strict.Duration) time.Duration { return time.Duration(x) }
 	w := &f.World
 	capacity := 0.0
 	for i := range w.Nodes.Count {
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -20,6 +20,7 @@
 	"hazelwing/internal/lab/experiment"
 	"hazelwing/internal/lab/rival"
 	"hazelwing/internal/lab/world"
+	"hazelwing/internal/strict"
 )
 
 // Options say what is hunted.
@@ -132,9 +133,9 @@
 func (h *hunt) fault(rng *rand.Rand) experiment.Fault {
 	length := time.Duration(h.e.World.Length)
 	x := draws[rng.IntN(len(draws))]
-	f := experiment.Fault{What: x.what, At: experiment.Duration((length/10 + time.Duration(rng.Int64N(int64(length/2)))).Round(100 * time.Millisecond))}
+	f := experiment.Fault{What: x.what, At: strict.Duration((length/10 + time.Duration(rng.Int64N(int64(length/2)))).Round(100 * time.Millisecond))}
 	if x.long {
-		f.For = experiment.Duration((time.Second + time.Duration(rng.Int64N(int64(length/3)))).Round(100 * time.Millisecond))
+		f.For = strict.Duration((time.Second + time.Duration(rng.Int64N(int64(length/3)))).Round(100 * time.Millisecond))
 	}
 	if x.most > 0 {
 		f.Times = round(x.least + rng.Float64()*(x.most-x.least))
@@ -143,7 +144,7 @@
 		f.Share = max(0.01, round(rng.Float64()*x.shareMost))
 	}
 	if x.repeat {
-		f.Every = experiment.Duration((200*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))).Round(100 * time.Millisecond))
+		f.Every = strict.Duration((200*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))).Round(100 * time.Millisecond))
 	}
 	if zones := h.e.World.Nodes.Zones; x.zone && len(zones) > 0 {
 		f.Zone = zones[rng.IntN(len(zones))]
@@ -240,8 +241,8 @@
 		}
 		for i := range d.Faults {
 			less(func(x *Day) { x.Faults = slices.Delete(x.Faults, i, i+1) })
-			half := func(t experiment.Duration) experiment.Duration {
-				return experiment.Duration((time.Duration(t) / 2).Round(100 * time.Millisecond))
+			half := func(t strict.Duration) strict.Duration {
+				return strict.Duration((time.Duration(t) / 2).Round(100 * time.Millisecond))
 			}
 			if time.Duration(d.Faults[i].For) >= 2*time.Second {
 				less(func(x *Day) { x.Faults[i].For = half(x.Faults[i].For) })
@@ -284,7 +285,7 @@
 	var faults []map[string]any
 	for _, f := range d.Faults {
 		m := map[string]any{"at": f.At, "what": f.What}
-		for key, v := range map[string]experiment.Duration{"for": f.For, "every": f.Every} {
+		for key, v := range map[string]strict.Duration{"for": f.For, "every": f.Every} {
 			if v > 0 {
 				m[key] = v
 			}
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -15,8 +15,6 @@
 	came   time.Duration
 	inst   *instance
 	tries  int
-	ended  bool
-	call   *call // the present try
 }
 
 // Kind says how a try or a request ended.
@@ -124,7 +122,6 @@
 	if c.answered {
 		return
 	}
-	r.call = c
 	w.at(expires, func() {
 		if !c.answered {
 			if w.now >= r.inst.stalled { // else the host's, not the policy's
@@ -157,7 +154,6 @@
 		w.after(wait, func() { w.try(r) })
 		return
 	}
-	r.ended = true
 	w.open--
 	w.m.ended(r, k)
 }
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -25,7 +25,6 @@
 	news    []func()      // that waits for the end of silence, or of a stall
 	weight  float64
 	number  int
-	ending  bool
 }
 
 // connections are an instance's to one node.
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -27,8 +27,6 @@
 
 	conns, connsMost int
 	probes           int
-	served           int
-	busy             time.Duration // core time
 }
 
 type arrival struct {
@@ -132,8 +130,6 @@
 
 func (n *node) finish(j *job) {
 	n.remove(j)
-	n.served++
-	n.busy += n.w.now - j.since
 	if n.breaks > 0 && n.w.chance.Float64() < n.breaks {
 		n.w.reset(j.a)
 	} else {
--- a/internal/ledger/guard/guard.go
+++ b/internal/ledger/guard/guard.go
@@ -139,17 +139,13 @@
 			}
 			return true
 		}
-		var fp ledger.Fingerprint
-		r, err := ledger.ParseRecord(value)
-		if err != nil || copy(fp[:], key) != len(key) {
+		fp, r, ok := parse(key, value)
+		if !ok {
 			odd++
 			return true
 		}
 		records[fp] = r
-		last = max(last, r.Since)
-		for _, p := range r.Places {
-			last = max(last, p.Sent)
-		}
+		last = max(last, r.Latest())
 		return true
 	})
 	if err != nil {
--- a/internal/ledger/guard/guard_test.go
+++ b/internal/ledger/guard/guard_test.go
@@ -138,6 +138,16 @@
 	return done
 }
 
+// leaver sends an unsafe request with the key "k", whose client leaves when leave is called.
+func (r *rig) leaver() (done chan engine.Result, leave func()) {
+	ctx, leave := context.WithCancel(r.t.Context())
+	done = make(chan engine.Result, 1)
+	go func() {
+		done <- r.do.Do(ctx, &engine.Call{ID: "1", Class: "book", Identity: "k", Expires: time.Now().Add(fixture.Patience)})
+	}()
+	return done, leave
+}
+
 func (r *rig) want(done chan engine.Result, kind engine.Kind, what string) engine.Result {
 	r.t.Helper()
 	got := fixture.Receive(r.t, done, what)
@@ -264,11 +274,7 @@
 	fs := faultfs.New()
 	r := life(t, newMachine(), fs, nil)
 	fs.Set(func(f *faultfs.FS) { f.SyncTime = 200 * time.Millisecond })
-	ctx, leave := context.WithCancel(t.Context())
-	done := make(chan engine.Result, 1)
-	go func() {
-		done <- r.do.Do(ctx, &engine.Call{ID: "1", Class: "book", Identity: "k", Expires: time.Now().Add(fixture.Patience)})
-	}()
+	done, leave := r.leaver()
 	fixture.Until(t, "its intent", func() bool { return r.g.State().Open == 1 })
 	leave()
 	r.want(done, engine.Left, "the one that left")
@@ -295,11 +301,7 @@
 	fs.Set(func(f *faultfs.FS) { f.SyncTime = 200 * time.Millisecond })
 	first := r.call("book", "first")
 	fixture.Until(t, "its intent", func() bool { return r.g.State().Open == 1 })
-	ctx, leave := context.WithCancel(t.Context())
-	done := make(chan engine.Result, 1)
-	go func() {
-		done <- r.do.Do(ctx, &engine.Call{ID: "1", Class: "book", Identity: "k", Expires: time.Now().Add(fixture.Patience)})
-	}()
+	done, leave := r.leaver()
 	fixture.Until(t, "the other's intent", func() bool { return r.g.State().Open == 2 })
 	leave()
 	r.want(done, engine.Left, "the one that left")
--- a/internal/ledger/guard/inspect.go
+++ b/internal/ledger/guard/inspect.go
@@ -12,6 +12,16 @@
 	"hazelwing/internal/store"
 )
 
+// parse reads an entry of the store's that is a record.
+func parse(key string, value []byte) (fp ledger.Fingerprint, r ledger.Record, ok bool) {
+	if len(key) != len(fp) {
+		return fp, r, false
+	}
+	copy(fp[:], key)
+	r, err := ledger.ParseRecord(value)
+	return fp, r, err == nil
+}
+
 // Remembered is a record of a directory, for operators.
 type Remembered struct {
 	Fingerprint string    `json:"fingerprint"`
@@ -28,9 +38,8 @@
 func Inspect(fs store.FS) ([]Remembered, error) {
 	list := []Remembered{}
 	err := store.Read(fs, func(key string, value []byte, _ time.Time) {
-		var fp ledger.Fingerprint
-		r, err := ledger.ParseRecord(value)
-		if err != nil || copy(fp[:], key) != len(key) {
+		fp, r, ok := parse(key, value)
+		if !ok {
 			return // the line of time
 		}
 		var where []string
@@ -53,8 +62,8 @@
 func Latest(fs store.FS) func() time.Time {
 	var last time.Time
 	store.Read(fs, func(key string, value []byte, _ time.Time) {
-		if r, err := ledger.ParseRecord(value); err == nil && key != clockKey {
-			if t := time.UnixMilli(int64(r.Since)); t.After(last) {
+		if _, r, ok := parse(key, value); ok {
+			if t := time.UnixMilli(int64(r.Latest())); t.After(last) {
 				last = t
 			}
 		}
--- a/internal/ledger/guard/state.go
+++ b/internal/ledger/guard/state.go
@@ -43,8 +43,9 @@
 	if g.trouble != nil {
 		s.Trouble = g.trouble.Error()
 	}
-	s.WaitP50, s.WaitP99 = g.waits.at(0.5), g.waits.at(0.99)
+	waits := g.waits
 	g.mu.Unlock()
+	s.WaitP50, s.WaitP99 = waits.quantiles()
 	if g.store != nil {
 		st := g.store.Stats()
 		s.Store = &st
@@ -63,11 +64,13 @@
 	w.n++
 }
 
-// at is a quantile in milliseconds; 0: there was none.
-func (w *waits) at(q float64) float64 {
-	list := slices.Sorted(slices.Values(w.ring[:min(w.n, len(w.ring))]))
+// quantiles are the median and p99, in milliseconds; 0: there was none.
+func (w *waits) quantiles() (p50, p99 float64) {
+	list := w.ring[:min(w.n, len(w.ring))]
 	if len(list) == 0 {
-		return 0
+		return 0, 0
 	}
-	return list[int(q*float64(len(list)-1))].Seconds() * 1000
+	slices.Sort(list)
+	at := func(q float64) float64 { return list[int(q*float64(len(list)-1))].Seconds() * 1000 }
+	return at(0.5), at(0.99)
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -46,10 +46,7 @@
 			panic(err)
 		}
 		records[fp] = x
-		last = max(last, x.Since)
-		for _, p := range x.Places {
-			last = max(last, p.Sent)
-		}
+		last = max(last, x.Latest())
 	}
 	saved, err := ParseSaved(r.line.Append(nil))
 	if err != nil || saved != r.line.Saved {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -61,6 +61,15 @@
 	return b
 }
 
+// Latest is the latest point of time that a record tells of.
+func (r *Record) Latest() Time {
+	last := r.Since
+	for _, p := range r.Places {
+		last = max(last, p.Sent)
+	}
+	return last
+}
+
 // reader takes a form apart; bad is set where it is too short.
 type reader struct {
 	b   []byte
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -95,6 +95,37 @@
 	Send(ctx context.Context, id string, s Shot) Kind
 }
 
+// Message is a request as the platform's applications send it.
+type Message struct {
+	ID, Class, Effect, Key string        // Key: absent where it is empty
+	Patience               time.Duration // how long the answer is waited for
+	Work, Hint             time.Duration // told to stand-in nodes; the guess at it
+}
+
+// Request makes it, for the daemon at a URL without a path. Nothing sends it again by itself.
+func (m Message) Request(ctx context.Context, url string) (*http.Request, error) {
+	method, body := http.MethodGet, io.Reader(nil)
+	if m.Effect != "safe" {
+		method, body = http.MethodPost, strings.NewReader("seat")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url+"/"+m.Class+"/x", body)
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	us := func(d time.Duration) string {
+		return strconv.FormatFloat(float64(d)/float64(time.Microsecond), 'f', -1, 64)
+	}
+	for name, value := range map[string]string{"X-Request-Id": m.ID, "X-Class": m.Class, "X-Deadline-Ms": strconv.FormatInt(max(1, m.Patience.Milliseconds()), 10),
+		"X-Cost-Hint": us(m.Hint), "X-Extras": "work=" + us(m.Work)} {
+		req.Header.Set(name, value)
+	}
+	if m.Key != "" {
+		req.Header.Set("Idempotency-Key", m.Key)
+	}
+	return req, nil
+}
+
 // HTTP is a target that speaks the platform's protocol, as an application does. Close lets its connections go.
 type HTTP struct {
 	url    string
@@ -115,24 +146,15 @@
 
 // Send sends one request.
 func (h *HTTP) Send(ctx context.Context, id string, s Shot) Kind {
-	method, body := http.MethodGet, io.Reader(nil)
-	if s.Effect != "safe" {
-		method, body = http.MethodPost, strings.NewReader("seat")
+	deadline, _ := ctx.Deadline()
+	m := Message{ID: id, Class: s.Class, Effect: s.Effect, Patience: time.Until(deadline), Work: s.Work, Hint: s.Work}
+	if s.Effect == "keyed" {
+		m.Key = "k" + id
 	}
-	req, err := http.NewRequestWithContext(ctx, method, h.url+"/"+s.Class+"/x", body)
+	req, err := m.Request(ctx, h.url)
 	if err != nil {
 		return Failed
 	}
-	req.GetBody = nil // nothing is sent again by itself
-	deadline, _ := ctx.Deadline()
-	work := strconv.FormatFloat(float64(s.Work)/float64(time.Microsecond), 'f', -1, 64)
-	for name, value := range map[string]string{"X-Request-Id": id, "X-Class": s.Class, "X-Deadline-Ms": strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10),
-		"X-Cost-Hint": work, "X-Extras": "work=" + work} {
-		req.Header.Set(name, value)
-	}
-	if s.Effect == "keyed" {
-		req.Header.Set("Idempotency-Key", "k"+id)
-	}
 	resp, err := h.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,11 +4,9 @@
 package operator
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -17,10 +15,10 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"hazelwing/internal/ledger/guard"
+	"hazelwing/internal/strict"
 )
 
 // Config is what the file says; nil tables are off.
@@ -33,9 +31,9 @@
 type Ledger struct {
 	Dir         string           `toml:"dir"`
 	Durable     guard.Durability `toml:"durable"`
-	SyncEvery   Duration         `toml:"sync_every"`
+	SyncEvery   strict.Duration  `toml:"sync_every"`
 	OnFailure   guard.Trouble    `toml:"on_failure"`
-	Remember    Duration         `toml:"remember"`
+	Remember    strict.Duration  `toml:"remember"`
 	MaxEntries  int64            `toml:"max_entries"`
 	SegmentSize Size             `toml:"segment_size"`
 	MaxSize     Size             `toml:"max_size"`
@@ -65,19 +63,6 @@
 	mostSize      = 64 << 30
 )
 
-// Duration is written as Go writes it: "100ms", "10m".
-type Duration time.Duration
-
-// UnmarshalText reads one.
-func (d *Duration) UnmarshalText(text []byte) error {
-	x, err := time.ParseDuration(string(text))
-	*d = Duration(x)
-	if err != nil {
-		return fmt.Errorf("%q is no time such as \"100ms\" or \"10m\"", text)
-	}
-	return nil
-}
-
 // Size is a number of bytes, written as "4MiB".
 type Size int64
 
@@ -115,14 +100,6 @@
 	return c, nil
 }
 
-// Fault is what is wrong at a place.
-type Fault struct {
-	Line, Column int
-	Text         string
-}
-
-func (f Fault) Error() string { return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text) }
-
 func unwrap(err error) []error {
 	if list, ok := err.(interface{ Unwrap() []error }); ok {
 		return list.Unwrap()
@@ -130,27 +107,16 @@
 	return []error{err}
 }
 
-// Parse reads a file's text. Its error joins Faults.
+// Parse reads a file's text. Its error joins strict.Faults.
 func Parse(text []byte) (*Config, error) {
 	c := new(Config)
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(c)
-	var one *toml.DecodeError
-	var missing *toml.StrictMissingError
-	switch {
-	case errors.As(err, &missing):
-		var all []error
-		for i := range missing.Errors {
-			line, column := missing.Errors[i].Position()
-			all = append(all, Fault{line, column, "no such key: " + strings.Join(missing.Errors[i].Key(), ".")})
-		}
+	var all []error
+	for _, f := range strict.Decode(text, c) {
+		all = append(all, f)
+	}
+	if len(all) > 0 {
 		return nil, errors.Join(all...)
-	case errors.As(err, &one):
-		line, column := one.Position()
-		return nil, errors.Join(Fault{line, column, strings.TrimPrefix(one.Error(), "toml: ")})
-	case err != nil:
-		return nil, errors.Join(Fault{1, 1, err.Error()})
 	}
-	var all []error
 	where := places(text)
 	c.check(func(key, format string, args ...any) {
 		at, ok := where[key]
@@ -158,7 +124,7 @@
 			table, _, _ := strings.Cut(key, ".")
 			at = where[table]
 		}
-		all = append(all, Fault{at.Line, at.Column, key + ": " + fmt.Sprintf(format, args...)})
+		all = append(all, strict.Fault{Line: at.Line, Column: at.Column, Text: key + ": " + fmt.Sprintf(format, args...)})
 	})
 	if len(all) > 0 {
 		return nil, errors.Join(all...)
@@ -213,9 +179,9 @@
 }
 
 func (l *Ledger) check(fault func(key, format string, args ...any)) {
-	def := func(d *Duration, to time.Duration) {
+	def := func(d *strict.Duration, to time.Duration) {
 		if *d == 0 {
-			*d = Duration(to)
+			*d = strict.Duration(to)
 		}
 	}
 	between := func(key string, v, least, most any, ok bool) {
@@ -264,6 +230,3 @@
 	between("ledger.segment_size", l.SegmentSize, "64KiB", "256MiB", l.SegmentSize >= leastSegment && l.SegmentSize <= mostSegment)
 	between("ledger.max_size", l.MaxSize, "8 segments", "64GiB", l.MaxSize >= leastSegments*l.SegmentSize && l.MaxSize <= mostSize)
 }
-
-// Loopback listens at an address that was checked.
-func (a *Admin) Loopback() (net.Listener, error) { return net.Listen("tcp", a.Listen) }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hazelwing/internal/ledger/guard"
+	"hazelwing/internal/strict"
 )
 
 func TestParse(t *testing.T) {
@@ -15,8 +16,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := Ledger{Dir: "/var/lib/x", Durable: guard.Batch, SyncEvery: Duration(20 * time.Millisecond), OnFailure: guard.Refuse,
-		Remember: Duration(2 * time.Minute), MaxEntries: 100_000, SegmentSize: 4 << 20, MaxSize: 1 << 30}
+	want := Ledger{Dir: "/var/lib/x", Durable: guard.Batch, SyncEvery: strict.Duration(20 * time.Millisecond), OnFailure: guard.Refuse,
+		Remember: strict.Duration(2 * time.Minute), MaxEntries: 100_000, SegmentSize: 4 << 20, MaxSize: 1 << 30}
 	if *c.Ledger != want || c.Admin.Listen != "[::1]:9180" {
 		t.Errorf("%+v, %+v", c.Ledger, c.Admin)
 	}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -1,14 +1,14 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"hazelwing/internal/load"
 )
 
 // longAfter a client's time nothing is waited for any more.
@@ -25,26 +25,15 @@
 		ctx, cancel := context.WithDeadline(context.WithoutCancel(patience), deadline.Add(longAfter))
 		defer cancel()
 		id := fmt.Sprintf("%08x", n)
-		method, body := http.MethodGet, ""
-		if c.Effect != "safe" {
-			method, body = http.MethodPost, "seat"
+		us := func(x float64) time.Duration { return time.Duration(x * float64(time.Microsecond)) }
+		m := load.Message{ID: id, Class: c.Name, Effect: c.Effect, Patience: time.Until(deadline), Work: us(r.WorkUS), Hint: us(r.HintUS)}
+		if c.Effect == "keyed" {
+			m.Key = "k" + id
 		}
-		req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/"+c.Name+"/x", bytes.NewReader([]byte(body)))
+		req, err := m.Request(ctx, "http://"+addr)
 		if err != nil {
 			return Failed
 		}
-		if body == "" {
-			req.Body, req.ContentLength = nil, 0
-		}
-		h := req.Header
-		h.Set(IDName, id)
-		h.Set(ClassName, c.Name)
-		h.Set("X-Deadline-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-		h.Set("X-Cost-Hint", strconv.FormatFloat(r.HintUS, 'f', -1, 64))
-		h.Set(ExtrasName, "work="+strconv.FormatFloat(r.WorkUS, 'f', -1, 64))
-		if c.Effect == "keyed" {
-			h.Set(KeyName, "k"+id)
-		}
 		if r.Key != "" {
 			req.AddCookie(&http.Cookie{Name: "user", Value: r.Key})
 		}
