The known list is held before a pushed watch, and a whole list comes first

Seen in a probe in the log: eight members known, none held. At fault: engine.New queued the known list as news of no watch, and Run opened a pushed list's watch first, so news() dropped it; and version 0 was taken for 'nothing held', though to an agent that begins to count with its first list it is a version like others: from=0 brings what changed since, which is nothing. The same would have mixed two discoveries' lists after SIGHUP.

Now Run hands the known list out before any watch, NoVersion (-1) is where nothing is held, and the watch then asks for the whole list where the first object is a change; older changes behind it are dropped.

--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -19,6 +19,10 @@
 	calls, ends = make(chan string, 100), make(chan string, 100)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
+		if r.URL.RawQuery == "" {
+			io.WriteString(w, `{"seq":0,"whole":true,"hosts":[]}`)
+			return
+		}
 		w.WriteHeader(http.StatusOK)
 		io.WriteString(w, "\n")
 		w.(http.Flusher).Flush()
@@ -49,6 +53,9 @@
 	if q := fixture.Receive(t, newCalls, "the new watch"); q != "watch=1&from=0" {
 		t.Errorf("asked %s", q)
 	}
+	if q := fixture.Receive(t, newCalls, "the whole list"); q != "" {
+		t.Errorf("asked %s", q)
+	}
 	fixture.Receive(t, oldEnds, "the old watch's end")
 	if len(oldCalls) > 0 {
 		t.Error("the old discovery was asked again")
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -121,18 +121,22 @@
 	BornMS float64
 }
 
+// NoVersion is where nothing of a list is held. Any version from 0 on may be one that holds members: a source that
+// begins to count with its first list has that as version 0.
+const NoVersion = -1
+
 // News is what a Source tells.
 type News struct {
 	Kind    balancer.MembersKind
-	Seq     int64 // the list's version, from which a later Watch goes on; 0: from the whole list
+	Seq     int64 // the list's version, from which a later Watch goes on; NoVersion: from the whole list
 	Members []Member
 	Err     error // of kind Failed
 }
 
 // Source tells of members.
 type Source interface {
-	// Watch starts to follow the list, once pause has passed, from version seq on (0: the whole list), and returns
-	// at once. It calls tell from goroutines of its own, one call at a time. News of kind Failed is its last, and it
+	// Watch starts to follow the list, once pause has passed, from version seq on, and returns at once. From NoVersion
+	// on its first news, unless it is Failed, is of kind Full. It calls tell from goroutines of its own, one call at a time. News of kind Failed is its last, and it
 	// tells none after stop was called and has returned, but for one that is under way. stop does not block, and may
 	// be called again. The engine calls Watch and stop from Run's goroutine, and has one Watch on at a time.
 	Watch(seq int64, pause time.Duration, tell func(News)) (stop context.CancelFunc)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,7 +22,7 @@
 	Seed      uint64
 	Transport Transport
 	Source    Source // followed from the start, or once the module asks where the settings say MustSubscribe
-	Known     News   // the list as last held, of kind Saved; it may be old, or empty
+	Known     News   // the list as last held, of kind Saved; it may be old, or empty: then the whole list is asked for
 	Log       *slog.Logger
 	// MaxCalls bounds the calls in hand, attempts that outlive theirs included; those beyond are refused. 0: the front
 	// bounds them.
@@ -78,6 +78,7 @@
 	lists  chan told     // before all other events
 	closed chan struct{} // Run has returned
 
+	known  News
 	calls  map[string]*Call
 	out    int // exchanges that have not ended
 	watch  *watch
@@ -106,9 +107,11 @@
 		calls: map[string]*Call{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
 	e.timer.Stop()
 	e.beat.Stop()
-	known := cfg.Known
-	known.Kind = balancer.Saved
-	e.lists <- told{News: known}
+	e.known = cfg.Known
+	e.known.Kind = balancer.Saved
+	if len(e.known.Members) == 0 {
+		e.known.Seq = NoVersion
+	}
 	return e, nil
 }
 
@@ -166,14 +169,22 @@
 	defer close(e.closed)
 	defer e.beat.Stop()
 	defer e.timer.Stop()
-	if e.pushed {
-		e.subscribe()
-	}
+	e.begin()
 	for e.step(ctx.Done()) {
 	}
 	e.end()
 }
 
+// begin hands out the list as last held, before any watch is opened. Guards against losing it: a watch goes on from its
+// version, and brings only what has changed since.
+func (e *Engine) begin() {
+	e.news(told{News: e.known})
+	e.known.Members = nil
+	if e.pushed {
+		e.subscribe()
+	}
+}
+
 // step handles one event; false: done is.
 func (e *Engine) step(done <-chan struct{}) bool {
 	// The list goes first: what it tells must not wait behind a burst of calls.
@@ -471,7 +482,7 @@
 	if e.ending {
 		return
 	}
-	e.source, e.seq, e.lost = s, 0, false
+	e.source, e.seq, e.lost = s, NoVersion, false
 	e.subscribe()
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -104,19 +104,25 @@
 
 // idle is an engine that nothing runs but the test.
 func idle(t *testing.T, f *fake, set balancer.Settings, members int) *Engine {
+	t.Helper()
+	e := made(t, f, set, members)
+	e.begin() // the known list; the module asks for changes
+	return e
+}
+
+func made(t *testing.T, f *fake, set balancer.Settings, members int) *Engine {
 	t.Helper()
 	e, err := New(Config{Settings: set, Seed: 1, Transport: f, Source: f, Known: News{Seq: 7, Members: fleet(members)}, MaxCalls: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.step(nil) // the known list; the module asks for changes
 	return e
 }
 
 // start runs an engine until the test ends.
 func start(t *testing.T, f *fake, members int) (*Engine, context.CancelFunc) {
 	t.Helper()
-	e := idle(t, f, testSettings(), members)
+	e := made(t, f, testSettings(), members)
 	ctx, stop := context.WithCancel(context.Background())
 	go e.Run(ctx)
 	t.Cleanup(func() {
@@ -308,6 +314,26 @@
 	}
 }
 
+// A list that is pushed is watched without the module's asking. Guards against losing the one that is known: the watch
+// brings what has changed since, and a sidecar without members refuses everything.
+func TestKnownListIsHeld(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		f, set := newFake(), testSettings()
+		set.MustSubscribe = !pushed
+		e := idle(t, f, set, 2)
+		w := fixture.Receive(t, f.watches, "the watch")
+		w.tell(News{Kind: balancer.Change, Seq: 7})
+		e.step(nil)
+		e.arrive(newCall("1", "look"))
+		if w.seq != 7 || len(f.members) != 2 || len(f.sent) != 1 {
+			t.Errorf("pushed %v: %d members, %d calls sent on, watched from %d", pushed, len(f.members), len(f.sent), w.seq)
+		}
+		if e = made(t, f, set, 0); e.known.Seq != NoVersion {
+			t.Errorf("pushed %v: without members it watches from %d", pushed, e.known.Seq)
+		}
+	}
+}
+
 // Guards against the module's wait after failures, which belongs to the old source.
 func TestMoveDuringBackOff(t *testing.T) {
 	f, next := newFake(), newFake()
@@ -317,7 +343,7 @@
 		e.subscribe()
 	}
 	e.event(moved{next})
-	if w := fixture.Receive(t, next.watches, "the new watch"); w.seq != 0 {
+	if w := fixture.Receive(t, next.watches, "the new watch"); w.seq != NoVersion {
 		t.Errorf("it goes on from %d, a version of the other", w.seq)
 	}
 }
--- a/internal/membership/watch/watch.go
+++ b/internal/membership/watch/watch.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -90,7 +91,7 @@
 	}}}
 }
 
-// Watch follows what changes after seq. It ends with news of kind Failed, unless it is stopped first.
+// Watch follows what changes after seq, or the whole list from engine.NoVersion on. It ends with news of kind Failed, unless it is stopped first.
 func (d *Discovery) Watch(seq int64, pause time.Duration, tell func(engine.News)) context.CancelFunc {
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
@@ -108,49 +109,43 @@
 	return stop
 }
 
-// follow makes one call and tells what it brings. It returns the version to go on from, and why it ended.
+// follow makes a call that stays open and tells what it brings. It returns the version to go on from, and why it ended.
 func (d *Discovery) follow(ctx context.Context, seq int64, tell func(engine.News)) (int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("nothing came for %v", d.silence)) })
 	defer quiet.Stop()
 
-	url := "http://" + d.addr + "/discovery/hosts?watch=1&from=" + strconv.FormatInt(seq, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	resp, err := d.call(ctx, "?watch=1&from="+strconv.FormatInt(max(seq, 0), 10))
 	if err != nil {
 		return seq, err
 	}
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return seq, broken(ctx, err)
-	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return seq, fmt.Errorf("discovery answered %s", resp.Status)
-	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, longestLine)
 	for told := false; lines.Scan(); {
 		quiet.Reset(d.silence)
-		n := engine.News{Kind: balancer.Change}
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			var l Listing
-			if err := json.Unmarshal(line, &l); err != nil {
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 && told {
+			continue // it only says that nothing changed, as news at the beginning
+		}
+		n := engine.News{Kind: balancer.Change, Seq: max(seq, 0)}
+		if len(line) > 0 {
+			if n, err = d.read(line); err != nil {
 				// What it said is missing from now on: ask for the whole list.
-				return 0, fmt.Errorf("a line of the watch: %w", err)
-			}
-			var odd error
-			if n.Members, odd = l.Members(); odd != nil {
-				d.log.Warn("an entry of the list", "err", odd)
+				return engine.NoVersion, fmt.Errorf("a line of the watch: %w", err)
 			}
-			seq = l.Seq
-			if l.Whole {
-				n.Kind = balancer.Full
+		}
+		if seq == engine.NoVersion && n.Kind == balancer.Change {
+			// Guards against a discovery to which version 0 is a list like others: it tells what changed since, which
+			// is of no use to who does not hold that.
+			if n, err = d.whole(ctx); err != nil {
+				return seq, broken(ctx, fmt.Errorf("the whole list: %w", err))
 			}
-		} else if told {
-			continue // an empty line only says that nothing changed, as news at the beginning
+		} else if told && n.Kind == balancer.Change && n.Seq <= seq {
+			continue // the whole list, asked for beside the watch, had it already: it may bring back what has left since
 		}
-		told, n.Seq = true, seq
+		told, seq = true, n.Seq
 		tell(n)
 	}
 	if err := lines.Err(); err != nil {
@@ -159,6 +154,58 @@
 	return seq, fmt.Errorf("the watch ended")
 }
 
+// call asks for the list. Its answer, whose body the caller closes, is a good one.
+func (d *Discovery) call(ctx context.Context, query string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/discovery/hosts"+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, broken(ctx, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	return resp, nil
+}
+
+// whole asks for the whole list.
+func (d *Discovery) whole(ctx context.Context) (engine.News, error) {
+	resp, err := d.call(ctx, "")
+	if err != nil {
+		return engine.News{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, longestLine))
+	if err != nil {
+		return engine.News{}, err
+	}
+	n, err := d.read(text)
+	if err == nil && n.Kind != balancer.Full {
+		err = errors.New("it does not say that it is whole")
+	}
+	return n, err
+}
+
+// read makes news of an object in discovery's form.
+func (d *Discovery) read(text []byte) (engine.News, error) {
+	var l Listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		return engine.News{}, err
+	}
+	n := engine.News{Kind: balancer.Change, Seq: l.Seq}
+	if l.Whole {
+		n.Kind = balancer.Full
+	}
+	var odd error
+	if n.Members, odd = l.Members(); odd != nil {
+		d.log.Warn("an entry of the list", "err", odd)
+	}
+	return n, nil
+}
+
 // broken is why a call broke: for what ended ctx, where that was it.
 func broken(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/membership/watch/watch_test.go
+++ b/internal/membership/watch/watch_test.go
@@ -16,15 +16,20 @@
 	"hazelwing/internal/standin/fixture"
 )
 
-// watching starts a watch on a discovery that answers with serve, and returns its news.
+// watching starts a watch from version 41 on a discovery that answers with serve, and returns its news.
 func watching(t *testing.T, silence time.Duration, serve http.HandlerFunc) <-chan engine.News {
+	t.Helper()
+	return watchingFrom(t, 41, silence, serve)
+}
+
+func watchingFrom(t *testing.T, seq int64, silence time.Duration, serve http.HandlerFunc) <-chan engine.News {
 	t.Helper()
 	server := httptest.NewServer(serve)
 	t.Cleanup(server.Close)
 	all := make(chan engine.News, 100)
 	d := New(server.Listener.Addr().String(), slog.New(slog.DiscardHandler))
 	d.silence = silence
-	t.Cleanup(d.Watch(41, 0, func(n engine.News) { all <- n }))
+	t.Cleanup(d.Watch(seq, 0, func(n engine.News) { all <- n }))
 	return all
 }
 
@@ -55,6 +60,63 @@
 	}
 }
 
+// object is one of discovery's, with entries such as "a" or, of one that is gone, "-b".
+func object(seq int, whole bool, entries ...string) string {
+	var hosts []string
+	for _, e := range entries {
+		name, health := e, "SERVING"
+		if e[0] == '-' {
+			name, health = e[1:], "DELETED"
+		}
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:1","health":%q}`, name, health))
+	}
+	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(hosts, ","))
+}
+
+// From NoVersion on the whole list comes first, whatever the discovery counts from, and nothing older after it.
+func TestWholeListFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		watch []string
+		list  string
+		want  []string // kind, version, entries
+		calls int
+	}{
+		"0 is no version":         {[]string{object(3, true, "a"), object(4, false, "b")}, "", []string{"0 3 [a]", "1 4 [b]"}, 1},
+		"0 is a list":             {[]string{object(0, false), object(1, false, "b")}, object(0, true, "a"), []string{"0 0 [a]", "1 1 [b]"}, 2},
+		"nothing has changed":     {[]string{"", object(1, false, "b")}, object(0, true, "a"), []string{"0 0 [a]", "1 1 [b]"}, 2},
+		"the list was newer":      {[]string{object(1, false, "b"), object(2, false, "-b"), object(3, false, "c")}, object(2, true, "a"), []string{"0 2 [a]", "1 3 [c]"}, 2},
+		"the list is not whole":   {[]string{object(0, false)}, object(0, false, "a"), []string{"3 -1 []"}, 2},
+		"the list cannot be read": {[]string{object(0, false)}, "{", []string{"3 -1 []"}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			calls := make(chan string, 10)
+			all := watchingFrom(t, engine.NoVersion, fixture.Patience, func(w http.ResponseWriter, r *http.Request) {
+				calls <- r.URL.String()
+				if r.URL.RawQuery == "" {
+					io.WriteString(w, c.list)
+					return
+				}
+				io.WriteString(w, strings.Join(c.watch, "\n")+"\n")
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			})
+			for i, want := range c.want {
+				n := fixture.Receive(t, all, "news")
+				ids := []string{}
+				for _, m := range n.Members {
+					ids = append(ids, m.ID)
+				}
+				if got := fmt.Sprint(int(n.Kind), n.Seq, ids); got != want {
+					t.Errorf("news %d: %s, want %s", i, got, want)
+				}
+			}
+			if len(calls) != c.calls {
+				t.Errorf("%d calls, want %d", len(calls), c.calls)
+			}
+		})
+	}
+}
+
 // A watch that cannot go on has to be reported, or the module would believe an old list for ever.
 func TestWatchFails(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -89,8 +151,8 @@
 		<-r.Context().Done()
 	})
 	fixture.Receive(t, all, "the list")
-	if n := fixture.Receive(t, all, "the failure"); n.Kind != balancer.Failed || n.Seq != 0 {
-		t.Errorf("%+v, want a failure that goes on from 0", n)
+	if n := fixture.Receive(t, all, "the failure"); n.Kind != balancer.Failed || n.Seq != engine.NoVersion {
+		t.Errorf("%+v, want a failure that goes on from the whole list", n)
 	}
 }
 
