Clients that wait less are no late repeats; three breaks in a row, not two, are death

A probe in the log showed the refused ones: 30 to 60 ms left, none sent, 'stale', no shedding; and the windows showed one attempt in ten reset, spread over all servers. Ruled out: admission (it refused 72 of some 450), cold limits, late members.

At fault: class.firstTry took any time left but the usual one for a repeat cut short, which held on the first deployment since its clients wait alike; and health took two broken connections in a row for a death. A time left is now a repeat's only if a request that came a Deadline before its end was left unserved: the last 256 such arrivals of each class are kept. A process that died still breaks all and refuses new connections, which ejects at once.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,7 +36,7 @@
 	rateMemory   = 20 * time.Second // offered load is averaged over this
 	ejectBase    = time.Second      // first ejection; doubles with each failed trial
 	ejectMax     = 8 * time.Second
-	ejectErrors  = 3                // error answers in a row: two happen by chance
+	ejectErrors  = 3                // error answers, or broken connections, in a row: two happen by chance
 	silentAims   = 3.0              // no answer for this many mean aims, with failures: silent
 	limitMax     = 0.65             // requests in hand may wait this share of their aim
 	limitMin     = 0.33             // or down to this where upstreams are crowded
@@ -315,6 +315,7 @@
 	b.observe(a, e.Result, e.Elapsed)
 	b.health(a, e.Result, e.Elapsed)
 	if e.Finished && !r.done {
+		r.served = e.Result == OK
 		b.cancelRest(r, e.Attempt)
 		b.learnLimit(r)
 		b.close(r)
@@ -374,6 +375,9 @@
 		return
 	}
 	r.done = true
+	if !r.served && !r.stream {
+		r.class.unserved.add(r.arrived)
+	}
 	if !r.stream {
 		b.hold(r, -1)
 	}
@@ -611,9 +615,10 @@
 	return u.ejections == 0 || len(u.out) == 0 && r.class.Effect != Unsafe
 }
 
-// health ejects an upstream that refuses connections, breaks more than one, answers errors only or is silent.
-// Guards against crashed upstreams (instant refusals look fast), hung ones, and failing ones: beside queues
-// longer than the penalty their errors look fast too. One connection may break though its process lives.
+// health ejects an upstream that refuses connections, breaks several in a row, answers errors only or is
+// silent. Guards against crashed upstreams (instant refusals look fast), hung ones, and failing ones: beside
+// queues longer than the penalty their errors look fast too. Connections may break though the process lives:
+// where one answer in ten was lost, two breaks in a row took most of a healthy fleet out at once.
 func (b *Balancer) health(a *attempt, res Result, elapsed time.Duration) {
 	u := a.u
 	switch res {
@@ -638,7 +643,7 @@
 		if u.fails++; u.fails == 1 {
 			u.silentSince = a.sent
 		}
-		dead := res == Reset && u.fails > 1 || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
+		dead := res == Reset && u.fails >= ejectErrors || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
 		silent := u.fails > 1 && (b.now-u.silentSince).Seconds() > silentAims*b.meanAim
 		if (dead || silent || u.ejections > 0) && b.now >= u.until {
 			b.eject(u)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -15,6 +15,7 @@
 	mean     float64       // seconds an answer takes
 	tryTime  time.Duration // time left to most tries when they come
 	tryVotes int           // how sure that is
+	unserved arrivals      // when requests came that got no answer from an upstream
 }
 
 type upstream struct {
@@ -71,6 +72,7 @@
 	out      int
 	stale    bool // a repeat whose aim has passed
 	done     bool
+	served   bool          // by an upstream
 	key      uint64        // hash of its key, 0: none, or upstreams do not remember keys
 	choices  int           // upstreams that its key is kept to
 	pair     [2]*upstream  // drawn, and asked for its load
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -131,7 +131,9 @@
 
 // firstTry is when the client's first try for this request came, as far as its end tells. Guards against
 // work for repeats whose aim has passed. First tries of a class have the same time left, and so most
-// requests do; any other time left was cut short by the end of all tries, a Deadline after the first.
+// requests do; any other time left may have been cut short by the end of all tries, a Deadline after the first.
+// It was if a request came then that nobody served: clients that wait less than most look the same, and one that
+// was taken for a repeat was refused for nothing.
 func (c *class) firstTry(now, expires, tick time.Duration) time.Duration {
 	left := expires - now
 	if (left - c.tryTime).Abs() <= 2*tick {
@@ -141,12 +143,39 @@
 	if c.tryVotes--; c.tryVotes < 0 {
 		c.tryTime, c.tryVotes = left, 0
 	}
-	if first := expires - c.Deadline; c.tryVotes > tryVotes/2 && first < now {
+	first := expires - c.Deadline
+	if c.tryVotes > tryVotes/2 && first < now && c.unserved.near(first, max(2*tick, arrivalNear)) {
 		return first
 	}
 	return now
 }
 
+const (
+	arrivalsKept = 256                  // a second of a class at a busy sidecar that serves none of it
+	arrivalNear  = 5 * time.Millisecond // ends are told in whole milliseconds, and come late by the way
+)
+
+// arrivals is when the latest of some requests came.
+type arrivals struct {
+	at [arrivalsKept]time.Duration
+	n  int
+}
+
+func (a *arrivals) add(at time.Duration) {
+	a.at[a.n%arrivalsKept] = at
+	a.n++
+}
+
+// near says whether one of them came that close to at.
+func (a *arrivals) near(at, by time.Duration) bool {
+	for _, x := range a.at[:min(a.n, arrivalsKept)] {
+		if (x - at).Abs() <= by {
+			return true
+		}
+	}
+	return false
+}
+
 // rankOver is how many values a new one is ranked among.
 const rankOver = 64
 
