--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -74,7 +74,11 @@
 	Wait     strict.Duration `toml:"wait"`
 	Uneven   float64         `toml:"uneven"` // Zipf's exponent of the instances' traffic; 0: alike
 	Keys     int             `toml:"keys"`
-	Curve    []Point         `toml:"curve"`
+
+	Impatient float64         `toml:"impatient"`
+	Patience  strict.Duration `toml:"patience"`
+
+	Curve []Point `toml:"curve"`
 }
 
 // Point is one of the curve that the rate follows.
@@ -383,7 +387,8 @@
 	}
 	c.Length = d(w.Length)
 	k := &w.Clients
-	c.Clients = world.Clients{Instances: w.Instances, Rate: rate, Zones: w.Nodes.Zones, Tries: max(k.Tries, 1), TryShare: k.TryShare, Wait: d(k.Wait), Keys: k.Keys}
+	c.Clients = world.Clients{Instances: w.Instances, Rate: rate, Zones: w.Nodes.Zones, Tries: max(k.Tries, 1), TryShare: k.TryShare, Wait: d(k.Wait), Keys: k.Keys,
+		Impatient: k.Impatient, Patience: d(k.Patience)}
 	if k.Uneven > 0 {
 		for i := range w.Instances {
 			c.Clients.Weights = append(c.Clients.Weights, math.Pow(float64(i+1), -k.Uneven))
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -13,6 +13,7 @@
 	work   time.Duration
 	hint   time.Duration
 	came   time.Duration
+	end    time.Duration // when its client has given up all tries
 	inst   *instance
 	tries  int
 }
@@ -85,6 +86,11 @@
 			if c.Keys > 0 {
 				r.key = 1 + rng.IntN(c.Keys)
 			}
+			r.end = w.now + r.class.Deadline
+			if c.Impatient > 0 && rng.Float64() < c.Impatient {
+				r.end = w.now + time.Duration(float64(c.Patience)*(1+rng.Float64())/2)
+				r.tries = max(c.Tries, 1) - 1 // it asks once
+			}
 			w.m.asked(r)
 			w.open++
 			w.try(r)
@@ -112,10 +118,9 @@
 // try hands a request to its instance, as a try of its own.
 func (w *World) try(r *request) {
 	r.tries++
-	end := r.came + r.class.Deadline
-	expires := end
+	expires := r.end
 	if s := w.cfg.Clients.TryShare; s > 0 {
-		expires = min(end, w.now+time.Duration(s*float64(r.class.Deadline)))
+		expires = min(r.end, w.now+time.Duration(s*float64(r.class.Deadline)))
 	}
 	w.m.tries++
 	c := r.inst.request(r, expires)
@@ -150,7 +155,7 @@
 func (w *World) ended(r *request, k Kind, retryIn time.Duration) {
 	c := &w.cfg.Clients
 	wait := max(c.Wait, retryIn)
-	if k != Served && r.tries < c.Tries && w.now+wait < r.came+r.class.Deadline {
+	if k != Served && r.tries < c.Tries && w.now+wait < r.end {
 		w.after(wait, func() { w.try(r) })
 		return
 	}
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -84,6 +84,8 @@
 	TryShare  float64   // of the class's deadline that a try is given; 0: all that is left
 	Wait      time.Duration
 	Keys      int     // requests are about so many things; 0: none
+	Impatient float64 // share of the requests whose clients wait for Patience at most, half of it at least, and ask once
+	Patience  time.Duration
 	Curve     []Point // the rate is multiplied by it, linearly between points
 }
 
@@ -149,6 +151,8 @@
 		return fmt.Errorf("length %v is not above 0 and up to a day", c.Length)
 	case c.Clients.Instances < 1 || !(c.Clients.Rate > 0):
 		return fmt.Errorf("clients: no instances, or no rate")
+	case !(c.Clients.Impatient >= 0 && c.Clients.Impatient <= 1) || c.Clients.Impatient > 0 && c.Clients.Patience <= 0:
+		return fmt.Errorf("clients: impatient %v is not from 0 to 1, or there is no patience", c.Clients.Impatient)
 	case len(c.Clients.Weights) > 0 && len(c.Clients.Weights) != c.Clients.Instances:
 		return fmt.Errorf("clients: %d weights for %d instances", len(c.Clients.Weights), c.Clients.Instances)
 	}
