--- a/internal/lab/rival/pickers.go
+++ b/internal/lab/rival/pickers.go
@@ -24,6 +24,8 @@
 	"least":       {"least requests of all, as NGINX's least_conn", func(b *rival) picker { return &least{plain{b}} }},
 	"p2c": {"least requests of two: Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001",
 		func(b *rival) picker { return &p2c{plain{b}} }},
+	Truth: {"no policy: each request goes where its answer would come first, told what really holds, and is refused where none would come in time",
+		func(b *rival) picker { return &told{plain{b}} }},
 	"weighted": {"gRPC's weighted_round_robin (gRFC A58), by reports of what a server holds, weights drawn",
 		func(b *rival) picker { return &weighted{plain{b}} }},
 	"peak_ewma": {"Finagle's P2C peak EWMA (twitter.github.io/finagle/guide/Clients.html)", func(b *rival) picker { return &peakEWMA{plain{b}} }},
@@ -51,6 +53,24 @@
 	return ready[p.next%len(ready)]
 }
 
+// told takes the server whose answer would come first, or none where that is too late to be worth anything.
+type told struct{ plain }
+
+func (p *told) pick(r *request, ready []*server) *server {
+	work := p.b.truth.Work(r.id)
+	var best *server
+	least := r.end - p.b.now
+	if r.class.LateShare == 0 {
+		least = min(least, r.came+r.class.Aim-p.b.now)
+	}
+	for _, s := range ready {
+		if d, ok := p.b.truth.Ends(s.id, work); ok && d < least {
+			best, least = s, d
+		}
+	}
+	return best
+}
+
 type random struct{ plain }
 
 func (p *random) pick(_ *request, ready []*server) *server { return ready[p.b.rng.IntN(len(ready))] }
--- a/internal/lab/rival/rival.go
+++ b/internal/lab/rival/rival.go
@@ -29,8 +29,12 @@
 	return append(names, Own)
 }
 
-// Own is the real module's name.
-const Own = "hazelwing"
+// Own is the real module's name, Truth that of the policy which is told what no other can know: the top of what choosing
+// servers can reach in a world, but for what its greed costs.
+const (
+	Own   = "hazelwing"
+	Truth = "truth"
+)
 
 // withBudget behind a name gives it a retry budget: 0.2 of the requests and 10 a second, as Finagle's RetryBudget has.
 const (
@@ -87,6 +91,7 @@
 	requests map[string]*request
 	timers   timers
 	picker   picker
+	truth    world.Truth
 
 	limited bool
 	tokens  float64
@@ -115,6 +120,7 @@
 	id       string
 	key      string
 	class    balancer.Class
+	came     time.Duration
 	end      time.Duration
 	attempts []*attempt
 	out      int
@@ -128,7 +134,7 @@
 	mayRun bool
 }
 
-// picker takes one of the ready servers, which are not none.
+// picker takes one of the ready servers, which are not none, or nil: the request is to be given up.
 type picker interface {
 	pick(r *request, ready []*server) *server
 	// listed says that the list has changed.
@@ -154,6 +160,9 @@
 	return x
 }
 
+// Tell is described at world.Told.
+func (b *rival) Tell(t world.Truth) { b.truth = t }
+
 // Handle is described at world.Policy.
 func (b *rival) Handle(now time.Duration, e balancer.Event, acts []balancer.Action) []balancer.Action {
 	b.now, b.acts = now, acts
@@ -161,7 +170,7 @@
 	case balancer.Members:
 		b.members(e)
 	case balancer.Request:
-		r := &request{id: e.ID, key: e.Key, class: b.classes[e.Class], end: e.Expires - 2*b.set.Tick}
+		r := &request{id: e.ID, key: e.Key, class: b.classes[e.Class], came: now, end: e.Expires - 2*b.set.Tick}
 		b.requests[r.id] = r
 		heap.Push(&b.timers, timer{r.end, r})
 		b.act(balancer.Action{Kind: balancer.SetTimer, At: b.timers[0].at})
@@ -234,6 +243,10 @@
 		return
 	}
 	s := b.picker.pick(r, b.ready)
+	if s == nil {
+		b.giveUp(r)
+		return
+	}
 	r.attempts = append(r.attempts, &attempt{s: s, sent: b.now, out: true, mayRun: true})
 	r.out++
 	s.pending++
--- a/internal/lab/rival/rival_test.go
+++ b/internal/lab/rival/rival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +36,32 @@
 	}
 }
 
+// Told what holds, choosing servers is ahead of every other way where there is room, by far with half of them slow.
+func TestTruthIsTheTop(t *testing.T) {
+	service := func(name string) float64 {
+		p, err := New(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg := world.Trouble(5, 100)
+		cfg.Rules.FallMultiple = 0
+		r, err := world.Run(cfg, p, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Service
+	}
+	top := service(Truth)
+	for _, name := range Names() {
+		if strings.HasPrefix(name, Truth) {
+			continue
+		}
+		if got := service(name); got > top {
+			t.Errorf("%s serves %.3f, told the truth %.3f", name, got, top)
+		}
+	}
+}
+
 // n requests that none ends, on n servers: the fullest holds log log n / log 2 and a little with two choices (Mitzenmacher
 // 2001), far more with one; the full view and the bounded ring hold to their own bounds.
 func TestMaximumLoad(t *testing.T) {
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -72,6 +72,9 @@
 		i.weight = c.Weights[index]
 	}
 	w.instances = append(w.instances, i)
+	if t, ok := p.(Told); ok {
+		t.Tell(truth{i})
+	}
 	w.at(0, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()}) })
 	return nil
 }
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -217,8 +217,14 @@
 		n.sum -= n.got[0].work
 		n.got = n.got[1:]
 	}
-	if n.sum.Seconds() > r.FallMultiple*n.Speed*float64(n.Cores)*n.warmth()*r.FallTime.Seconds() {
+	if n.sum.Seconds() > n.bears() {
 		n.w.m.broke("%s was pushed over while cold", n.Name)
 		n.die(false)
 	}
 }
+
+// bears is the work, in seconds at speed 1, that may come to a cold process within the rules' time.
+func (n *node) bears() float64 {
+	r := &n.w.cfg.Rules
+	return r.FallMultiple * n.Speed * float64(n.Cores) * n.warmth() * r.FallTime.Seconds()
+}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hazelwing/balancer"
@@ -101,16 +102,21 @@
 	return z
 }
 
+// cut says whether nothing arrives from one zone in another one.
+func (w *World) cut(from, to int) bool {
+	return from != to && slices.ContainsFunc(w.cuts, func(c cut) bool {
+		return w.now < c.until && (c.zone == from || c.zone == to && !c.oneway)
+	})
+}
+
 // delay is how long a message takes between zones, and whether it arrives.
 func (w *World) delay(from, to int) (time.Duration, bool) {
 	n := &w.cfg.Network
 	d := n.Same
 	if from != to {
 		d = n.Cross
-		for _, c := range w.cuts {
-			if w.now < c.until && (c.zone == from || c.zone == to && !c.oneway) {
-				return 0, false
-			}
+		if w.cut(from, to) {
+			return 0, false
 		}
 	}
 	if n.Jitter > 0 {
