--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -48,7 +48,6 @@
 	servedMemory = 2 * time.Second  // what is served is averaged over this
 	slowMemory   = 10 * time.Second // few in hand are chance: their mean over this counts beside them
 	fewHand      = 8.0              // as much at this many in hand, the more the fewer
-	roomLimits   = 2.0              // times the limit: a load up to this is admitted under pressure
 	trustUp      = 1.3              // a request sent and served in time admits so many more
 	trustDown    = 0.7              // and one that missed so many: both even out where 4 in 10 miss
 	trustMin     = 0.1              // down to this share of what comes
@@ -176,20 +175,14 @@
 	if b.asksFirst(r) {
 		return
 	}
-	told, crowded := b.crowded(r)
-	doubtful := !told && r.shed && len(r.attempts) == 0
-	if crowded || doubtful && b.asks() {
+	if told, crowded := b.crowded(r); crowded || !told && r.shed && len(r.attempts) == 0 {
 		if r.pair = [2]*upstream{}; !told || r.asked >= pairTries || !b.asksFirst(r) {
 			b.giveUp(r)
 		}
 		return
 	}
 	if u := b.pick(r); u != nil {
-		if doubtful && !b.roomy(r, u) {
-			b.giveUp(r)
-		} else {
-			b.send(r, u)
-		}
+		b.send(r, u)
 		return
 	}
 	if len(r.attempts) >= b.set.MaxAttempts || b.stuck(r) {
@@ -796,15 +789,7 @@
 		b.shedding = b.now
 	}
 	r.shed = !ok
-	// Else what the pair tells decides, if it does, or what is known of the one picked.
-	return ok || b.asks() && b.cheap() || r.rank >= 1-b.trust
-}
-
-// roomy says whether u, picked for r, may serve it in time as far as its load tells. Guards against refusing
-// for what slow upstreams hold: pressure counts that, and r would not wait behind it. In a jam latencies hold
-// the wait already, and the load multiplies it by what is pending: there pressure decides.
-func (b *Balancer) roomy(r *request, u *upstream) bool {
-	return b.load(u)*r.cost <= roomLimits*b.limit*(r.aim-b.now).Seconds()
+	return ok || b.asks() && b.cheap() // then what the pair tells decides, if it does
 }
 
 // pressure compares the requests in hand with what is served while one of them may wait (Little's law):
