Lab: a run of another build is not gone on with

Two builds with uncommitted changes were the same program to the lab, so that the second took over the first one's figures: seen while two modules were compared by hand. A program whose commit does not settle what it is, is told by the checksum of its bytes; the file of another is refused as before, and left as it is. The test fails without it.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -117,6 +118,18 @@
 	if _, err := e.Play(t.Context(), filepath.Join(dir, "other"), 1, func(int, int) {}); !errors.Is(err, ErrOther) {
 		t.Errorf("a run of something else: %v", err)
 	}
+	// Tests are built without a commit: the program's checksum tells it from another build of the same experiment.
+	mark := regexp.MustCompile("program [0-9a-f]{16}").FindString(e.header().Commit)
+	if mark == "" {
+		t.Fatalf("the program is %q", e.header().Commit)
+	}
+	built := strings.Replace(one, mark, "program 0123456789abcdef", 1)
+	if err := os.WriteFile(filepath.Join(dir, "built"), []byte(built), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := e.Play(t.Context(), filepath.Join(dir, "built"), 1, func(int, int) {}); !errors.Is(err, ErrOther) {
+		t.Errorf("a run of another build: %v", err)
+	}
 	v, err := Judge(e.header(), runs)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hazelwing/internal/lab/rival"
 	"hazelwing/internal/lab/world"
 )
@@ -26,7 +28,7 @@
 	Name        string     `json:"name"`
 	Question    string     `json:"question"`
 	Hash        string     `json:"hash"`   // of the experiment
-	Commit      string     `json:"commit"` // of the program; "unknown" where it was built without
+	Commit      string     `json:"commit"` // of the program, or "unknown"; with its checksum where it was built with changes or without a commit
 	Go          string     `json:"go"`
 	Contestants []string   `json:"contestants"`
 	Sources     []string   `json:"sources"`
@@ -58,25 +60,33 @@
 	return h
 }
 
-func commit() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	out, changed := "unknown", false
-	for _, s := range info.Settings {
-		switch s.Key {
-		case "vcs.revision":
-			out = s.Value
-		case "vcs.modified":
-			changed = s.Value == "true"
+// commit names the program: by its commit, and where that does not settle it by its own bytes too. Guards against going
+// on with a run of another build: figures of two modules would stand in one file.
+var commit = sync.OnceValue(func() string {
+	out, settled := "unknown", false
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			switch s.Key {
+			case "vcs.revision":
+				out = s.Value
+			case "vcs.modified":
+				settled = s.Value == "false"
+			}
 		}
 	}
-	if changed {
-		out += " with changes"
+	if settled {
+		return out
 	}
-	return out
-}
+	path, err := os.Executable()
+	if err != nil {
+		return out
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return out
+	}
+	return fmt.Sprintf("%s, program %016x", out, xxhash.Sum64(text))
+})
 
 // job is a line to be made.
 type job struct {
