--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -136,8 +136,9 @@
 // Source tells of members.
 type Source interface {
 	// Watch starts to follow the list, once pause has passed, from version seq on, and returns at once. From NoVersion
-	// on its first news, unless it is Failed, is of kind Full. It calls tell from goroutines of its own, one call at a time. News of kind Failed is its last, and it
-	// tells none after stop was called and has returned, but for one that is under way. stop does not block, and may
-	// be called again. The engine calls Watch and stop from Run's goroutine, and has one Watch on at a time.
+	// on its first news, unless it is Failed, is of kind Full. It calls tell from goroutines of its own, one call at a
+	// time. News of kind Failed is its last, and it tells none after stop was called and has returned, but for one that
+	// is under way. stop does not block, and may be called again. The engine calls Watch and stop from Run's goroutine,
+	// and has one Watch on at a time.
 	Watch(seq int64, pause time.Duration, tell func(News)) (stop context.CancelFunc)
 }
--- a/internal/membership/watch/watch.go
+++ b/internal/membership/watch/watch.go
@@ -91,7 +91,8 @@
 	}}}
 }
 
-// Watch follows what changes after seq, or the whole list from engine.NoVersion on. It ends with news of kind Failed, unless it is stopped first.
+// Watch follows what changes after seq, or the whole list from engine.NoVersion on. It ends with news of kind Failed,
+// unless it is stopped first.
 func (d *Discovery) Watch(seq int64, pause time.Duration, tell func(engine.News)) context.CancelFunc {
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
