--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -112,7 +112,7 @@
 		b.outcome(e)
 	case Gone:
 		if r := b.reqs[e.ID]; r != nil {
-			b.close(r)
+			b.close(r, false)
 		}
 	case ProbeResult:
 		b.told(e)
@@ -315,10 +315,9 @@
 	b.observe(a, e.Result, e.Elapsed)
 	b.health(a, e.Result, e.Elapsed)
 	if e.Finished && !r.done {
-		r.served = e.Result == OK
 		b.cancelRest(r, e.Attempt)
 		b.learnLimit(r)
-		b.close(r)
+		b.close(r, e.Result == OK)
 	}
 	if r.done {
 		b.forget(r)
@@ -358,7 +357,7 @@
 	} else {
 		b.act(Action{Kind: Fail, ID: r.id})
 	}
-	b.close(r)
+	b.close(r, false)
 }
 
 // cancelRest stops the attempts still out, but for the one numbered keep.
@@ -370,12 +369,13 @@
 	}
 }
 
-func (b *Balancer) close(r *request) {
+// close ends a request, served by an upstream or not.
+func (b *Balancer) close(r *request, served bool) {
 	if r.done {
 		return
 	}
 	r.done = true
-	if !r.served && !r.stream {
+	if !served && !r.stream {
 		r.class.unserved.add(r.arrived)
 	}
 	if !r.stream {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -72,7 +72,6 @@
 	out      int
 	stale    bool // a repeat whose aim has passed
 	done     bool
-	served   bool          // by an upstream
 	key      uint64        // hash of its key, 0: none, or upstreams do not remember keys
 	choices  int           // upstreams that its key is kept to
 	pair     [2]*upstream  // drawn, and asked for its load
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,7 +78,7 @@
 	lists  chan told     // before all other events
 	closed chan struct{} // Run has returned
 
-	known  News
+	known  News // until Run hands it out
 	calls  map[string]*Call
 	out    int // exchanges that have not ended
 	watch  *watch
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,8 +17,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hazelwing/internal/lab/rival"
 	"hazelwing/internal/lab/world"
 )
@@ -85,7 +84,8 @@
 	if err != nil {
 		return out
 	}
-	return fmt.Sprintf("%s, program %016x", out, xxhash.Sum64(text))
+	sum := sha256.Sum256(text)
+	return fmt.Sprintf("%s, program %x", out, sum[:8])
 })
 
 // job is a line to be made.
--- a/internal/lab/rival/rival_test.go
+++ b/internal/lab/rival/rival_test.go
@@ -10,22 +10,29 @@
 	"hazelwing/internal/lab/world"
 )
 
+// trouble plays a policy through trouble of every kind, with cold servers that can be pushed over or without.
+func trouble(t *testing.T, name string, seed uint64, fall bool) *world.Result {
+	t.Helper()
+	p, err := New(name)
+	if err != nil || Source(name) == "" {
+		t.Fatal(err, Source(name))
+	}
+	cfg := world.Trouble(5, 100)
+	if !fall {
+		cfg.Rules.FallMultiple = 0
+	}
+	r, err := world.Run(cfg, p, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
 // Each keeps the rules through trouble of every kind, but for cold servers, which none of them knows, and serves.
 func TestAllKeepTheRules(t *testing.T) {
 	for _, name := range Names() {
 		t.Run(name, func(t *testing.T) {
-			p, err := New(name)
-			if err != nil || Source(name) == "" {
-				t.Fatal(err, Source(name))
-			}
-			cfg := world.Trouble(5, 100)
-			if name != Own {
-				cfg.Rules.FallMultiple = 0
-			}
-			r, err := world.Run(cfg, p, 1)
-			if err != nil {
-				t.Fatal(err)
-			}
+			r := trouble(t, name, 1, name == Own)
 			if r.Breaks > 0 || r.Service < 0.4 || r.Unanswered > r.Asked/100 {
 				t.Errorf("service %.3f, %d of %d unanswered, %q", r.Service, r.Unanswered, r.Asked, r.Broken)
 			}
@@ -38,25 +45,12 @@
 
 // Told what holds, choosing servers is ahead of every other way where there is room, by far with half of them slow.
 func TestTruthIsTheTop(t *testing.T) {
-	service := func(name string) float64 {
-		p, err := New(name)
-		if err != nil {
-			t.Fatal(err)
-		}
-		cfg := world.Trouble(5, 100)
-		cfg.Rules.FallMultiple = 0
-		r, err := world.Run(cfg, p, 2)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return r.Service
-	}
-	top := service(Truth)
+	top := trouble(t, Truth, 2, false).Service
 	for _, name := range Names() {
 		if strings.HasPrefix(name, Truth) {
 			continue
 		}
-		if got := service(name); got > top {
+		if got := trouble(t, name, 2, false).Service; got > top {
 			t.Errorf("%s serves %.3f, told the truth %.3f", name, got, top)
 		}
 	}
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -57,9 +57,20 @@
 	if n.paused {
 		return 0
 	}
-	return n.Speed * n.warmth() / max(n.slow, 1)
+	return n.pace()
 }
 
+// pace is the speed but for pauses.
+func (n *node) pace() float64 { return n.Speed * n.warmth() / max(n.slow, 1) }
+
+// shut says that it turns away what comes.
+func (n *node) shut() bool {
+	return n.drains || n.queued >= n.Queue && len(n.running) >= n.Cores
+}
+
+// remains is the work that a running job still needs, in seconds at speed 1.
+func (j *job) remains() float64 { return max(0, j.left-(j.n.w.now-j.since).Seconds()*j.speed) }
+
 func (n *node) warmth() float64 {
 	r := &n.w.cfg.Rules
 	if !n.cold || r.WarmUp == 0 {
@@ -72,7 +83,7 @@
 
 // take takes an attempt whose request has arrived whole, and says whether it was turned away unseen.
 func (n *node) take(a *attempt) (ok bool) {
-	if n.drains || n.queued >= n.Queue && len(n.running) >= n.Cores {
+	if n.shut() {
 		return false
 	}
 	n.chill(a)
@@ -120,7 +131,7 @@
 // changed is called before and after the speed changes.
 func (n *node) changed(change func()) {
 	for _, j := range n.running {
-		j.left = max(0, j.left-(n.w.now-j.since).Seconds()*j.speed)
+		j.left = j.remains()
 	}
 	change()
 	for _, j := range n.running {
--- a/internal/lab/world/truth.go
+++ b/internal/lab/world/truth.go
@@ -1,9 +1,6 @@
 package world
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Truth is what really holds at this moment, as no instance can know it. A policy that is told it shows what is within
 // reach: what it does not serve, knowing where to send would not have served either.
@@ -36,7 +33,7 @@
 
 func (t truth) Ends(name string, work time.Duration) (time.Duration, bool) {
 	w, n := t.i.w, t.i.w.byName[name]
-	if n == nil || n.dead || n.vanished || n.drains || n.queued >= n.Queue && len(n.running) >= n.Cores {
+	if n == nil || n.dead || n.vanished || n.shut() {
 		return 0, false
 	}
 	zone := w.zone(n.Zone)
@@ -46,13 +43,9 @@
 	if r := &w.cfg.Rules; n.cold && r.FallMultiple > 0 && (n.sum+work).Seconds() > coldShare*n.bears() {
 		return 0, false
 	}
-	speed := n.Speed * n.warmth() / math.Max(n.slow, 1) // a pause is over before one knows
 	left := 0.0
 	for _, j := range n.running {
-		left += j.left
-		if !n.paused {
-			left -= math.Min(j.left, (w.now-j.since).Seconds()*j.speed)
-		}
+		left += j.remains()
 	}
 	for _, j := range n.waiting {
 		if j.state == queued {
@@ -63,9 +56,6 @@
 	if n.held() >= n.Cores {
 		wait = left / float64(n.Cores)
 	}
-	way := w.cfg.Network.Same
-	if zone != t.i.zone {
-		way = w.cfg.Network.Cross
-	}
-	return 2*way + time.Duration((wait+work.Seconds())/speed*float64(time.Second)), true
+	there := time.Duration((wait + work.Seconds()) / n.pace() * float64(time.Second)) // a pause is over before one knows
+	return 2*w.way(t.i.zone, zone) + there, true
 }
--- a/internal/lab/world/truth_test.go
+++ b/internal/lab/world/truth_test.go
@@ -100,6 +100,7 @@
 	n := &node{Node: w.cfg.Nodes[0], w: w, queued: 1, running: []*job{{left: 0.01, state: runs}},
 		waiting: []*job{{left: 5, state: over}, {left: 0.02, state: queued}}}
 	w.byName[n.Name] = n
+	n.running[0].n = n
 	if d, ok := (truth{&instance{w: w}}).Ends(n.Name, 3*ms); !ok || d != 33*ms {
 		t.Errorf("%v, %v, want 33ms", d, ok)
 	}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -109,16 +109,21 @@
 	})
 }
 
+// way is the least time between zones.
+func (w *World) way(from, to int) time.Duration {
+	if from != to {
+		return w.cfg.Network.Cross
+	}
+	return w.cfg.Network.Same
+}
+
 // delay is how long a message takes between zones, and whether it arrives.
 func (w *World) delay(from, to int) (time.Duration, bool) {
-	n := &w.cfg.Network
-	d := n.Same
-	if from != to {
-		d = n.Cross
-		if w.cut(from, to) {
-			return 0, false
-		}
+	if w.cut(from, to) {
+		return 0, false
 	}
+	n := &w.cfg.Network
+	d := w.way(from, to)
 	if n.Jitter > 0 {
 		d += time.Duration(w.network.ExpFloat64() * float64(n.Jitter))
 	}
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -159,3 +159,27 @@
 		t.Errorf("%v, %q", err, r.Broken)
 	}
 }
+
+// An impatient client asks once and waits for its patience, whatever the class allows; the others ask again.
+func TestImpatientClients(t *testing.T) {
+	for _, c := range []struct {
+		impatient float64
+		patience  time.Duration
+		tries     float64 // for each request
+	}{{0, 0, 3}, {1, 20 * ms, 1}} {
+		cfg := plain(1, 1, 1000, 1, Work{"fixed", time.Minute, 0}, 20*time.Second)
+		cfg.Classes[0].Deadline = time.Second
+		cfg.Clients.Tries, cfg.Clients.TryShare = 3, 0.3
+		cfg.Clients.Impatient, cfg.Clients.Patience = c.impatient, c.patience
+		r, err := Run(cfg, hazelwing, 1)
+		if err != nil || r.Asked == 0 || r.Tries != c.tries || r.Service > 0 {
+			t.Errorf("%+v: %v tries of each of %d requests, service %v, %v", c, r.Tries, r.Asked, r.Service, err)
+		}
+		for _, bad := range []Clients{{Impatient: 2, Patience: ms}, {Impatient: 0.5}, {Impatient: -1, Patience: ms}} {
+			cfg.Clients.Impatient, cfg.Clients.Patience = bad.Impatient, bad.Patience
+			if cfg.Check() == nil {
+				t.Errorf("taken: %+v", bad)
+			}
+		}
+	}
+}
--- a/internal/membership/watch/watch.go
+++ b/internal/membership/watch/watch.go
@@ -130,7 +130,7 @@
 		if len(line) == 0 && told {
 			continue // it only says that nothing changed, as news at the beginning
 		}
-		n := engine.News{Kind: balancer.Change, Seq: max(seq, 0)}
+		n := engine.News{Kind: balancer.Change, Seq: seq}
 		if len(line) > 0 {
 			if n, err = d.read(line); err != nil {
 				// What it said is missing from now on: ask for the whole list.
