Cold budgets count the fleet as it was, not the first few that come back

fleetSize is the list, and at least half of the longest list of the last minute.

TestColdBudgetOfTheFirstToComeBack: 27 requests in the first second without it, 16 at most with it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,6 +55,7 @@
 	subsetLeast  = 6.0              // upstreams that a quiet sidecar draws its pairs from, or more:
 	subsetTime   = 5 * time.Second  // as many as requests come in this
 	tryVotes     = 20               // requests that settle what time left is usual
+	fleetMemory  = 60 * time.Second // a list that was longer is remembered for it
 	coldPart     = 0.45             // share used of what pushes a cold upstream over: it may be a small one
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
 	askMax       = 2 * time.Second
@@ -667,6 +668,7 @@
 
 // members follows the list, and asks again with a growing, jittered wait when it is lost.
 func (b *Balancer) members(e Members) {
+	b.fleetSize() // it was that long until now
 	if e.Kind == Failed {
 		if b.subscribed || b.askFails == 0 {
 			b.log("list lost: asking again")
@@ -697,6 +699,7 @@
 		}
 		return !u.listed
 	})
+	b.fleetSize()
 	b.choose()
 	if e.Kind == Saved && b.set.MustSubscribe && !b.asking && !b.subscribed {
 		b.ask()
@@ -765,13 +768,23 @@
 	if b.set.FallMultiple > 0 {
 		f *= coldPart * b.set.FallMultiple
 	}
-	perSec := f * b.offered.per(b.now) / float64(len(b.list))
+	perSec := f * b.offered.per(b.now) / float64(b.fleetSize())
 	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
 	u.tokens = min(depth, u.tokens+perSec*(b.now-u.filled).Seconds())
 	u.filled = b.now
 	return u.tokens >= 1
 }
 
+// fleetSize is over how many upstreams the load was spread of late. Guards against taking the first few that
+// come back after all have gone for the whole fleet: their mean load is the fleet's, and they are cold. A
+// rolling deploy, which leaves more than half in place, is held to the list as it is.
+func (b *Balancer) fleetSize() int {
+	if n := len(b.list); n >= b.widest || b.now-b.widestAt > fleetMemory {
+		b.widest, b.widestAt = n, b.now
+	}
+	return max(len(b.list), b.widest/2)
+}
+
 // ---- admission ----
 
 // admit refuses what is worth least while there is more in hand than can be served in time, and after misses
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -258,6 +258,35 @@
 	}
 }
 
+// After all have gone, the first that comes back cold gets no more than its part of the fleet's load.
+func TestColdBudgetOfTheFirstToComeBack(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(10)
+	sent := 0
+	second := func() {
+		for i := range 200 {
+			name := r.now.String() + string(rune('a'+i%26))
+			for range kinds(r.request(name, "c", time.Second), Send) {
+				sent++
+				r.result(name, 0, OK, 5*ms)
+			}
+			r.pass(5 * ms)
+		}
+	}
+	for range 10 {
+		second()
+	}
+	for i := range 10 {
+		r.list(Change, Member{Upstream: "u" + string(rune('0'+i)), State: Left})
+	}
+	r.list(Change, Member{Upstream: "u0", Zone: "a", CameUp: r.now})
+	sent = 0
+	second()
+	if sent == 0 || sent > 16 { // twice what TestColdBudget allows: half of the fleet may have gone for good
+		t.Errorf("%d requests to the first cold upstream in its first second", sent)
+	}
+}
+
 // With everything cold, work is held or refused: panic does not go round the limit.
 func TestAllCold(t *testing.T) {
 	r := newRig(t, testSettings())
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -126,6 +126,8 @@
 	chosen               time.Duration // when the subset was last settled
 	handAt               time.Duration // when inHand last changed
 	offered              rate          // arriving work, in mean requests a second
+	widest               int           // how long the list was at most, in the last fleetMemory
+	widestAt             time.Duration // until when
 	tenants              []rate        // arriving requests by tenant
 }
 
