Lab: processors, half-open connections, clocks, sessions and recorded traffic

A machine that vanishes leaves its connections open now. News of the list comes in order unless reorder is set; notice is how late the list learns of a death or a start.

--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -52,6 +52,7 @@
 	Clients   Clients            `toml:"clients"`
 	Network   Network            `toml:"network"`
 	List      List               `toml:"list"`
+	Host      Host               `toml:"host"`
 	Rules     Rules              `toml:"rules"`
 	Settings  Settings           `toml:"settings"`
 	Class     map[string]Traffic `toml:"class"`
@@ -79,6 +80,11 @@
 	Patience  strict.Duration `toml:"patience"`
 
 	Curve []Point `toml:"curve"`
+
+	Session float64         `toml:"session"`
+	Think   strict.Duration `toml:"think"`
+	Skew    strict.Duration `toml:"skew"`
+	Traffic string          `toml:"traffic"` // recorded, beside the file
 }
 
 // Point is one of the curve that the rate follows.
@@ -97,7 +103,16 @@
 }
 
 // List is described at Clients.
-type List struct{ Least, Most strict.Duration }
+type List struct {
+	Least, Most, Notice strict.Duration
+	Reorder             bool
+}
+
+// Host is described at Clients.
+type Host struct {
+	Cores                     float64
+	Request, Attempt, Connect strict.Duration
+}
 
 // Rules is described at Clients.
 type Rules struct {
@@ -174,6 +189,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if file := trafficOf(tree); file != "" { // what is played is its text, too
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, fmt.Errorf("%s: world.clients.traffic: %w", path, err)
+		}
+		whole = append(whole, text...)
+	}
 	e := &Experiment{Path: path, Name: strings.TrimSuffix(filepath.Base(path), ".toml")}
 	sum := sha256.Sum256(whole)
 	e.Hash = hex.EncodeToString(sum[:8])
@@ -211,6 +233,9 @@
 	if err := toml.Unmarshal(text, &tree); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if file := f.World.Clients.Traffic; file != "" { // beside the file that names it
+		tree, _ = set(tree, []string{"world", "clients", "traffic"}, filepath.Join(filepath.Dir(path), file))
+	}
 	if f.Base != "" {
 		base, err := load(filepath.Join(filepath.Dir(path), f.Base), depth-1)
 		if err != nil {
@@ -382,13 +407,18 @@
 	if w.Load > 0 {
 		rate = w.Load * capacity / (work / shares)
 	}
-	if math.IsNaN(rate) || (w.Load > 0) == (w.Rate > 0) {
+	if f.World.Clients.Traffic == "" && (math.IsNaN(rate) || (w.Load > 0) == (w.Rate > 0)) {
 		return c, errors.New("world: it needs load or rate, one of them")
 	}
 	c.Length = d(w.Length)
 	k := &w.Clients
 	c.Clients = world.Clients{Instances: w.Instances, Rate: rate, Zones: w.Nodes.Zones, Tries: max(k.Tries, 1), TryShare: k.TryShare, Wait: d(k.Wait), Keys: k.Keys,
-		Impatient: k.Impatient, Patience: d(k.Patience)}
+		Impatient: k.Impatient, Patience: d(k.Patience), Session: k.Session, Think: d(k.Think), Skew: d(k.Skew)}
+	if k.Traffic != "" {
+		if c.Clients.Recorded, err = recorded(k.Traffic); err != nil {
+			return c, err
+		}
+	}
 	if k.Uneven > 0 {
 		for i := range w.Instances {
 			c.Clients.Weights = append(c.Clients.Weights, math.Pow(float64(i+1), -k.Uneven))
@@ -400,7 +430,8 @@
 	n := &w.Network
 	c.Network = world.Network{Same: d(n.Same), Cross: d(n.Cross), Jitter: d(n.Jitter), Loss: n.Loss, RetransmitTime: 200 * time.Millisecond,
 		ConnectTimeout: cmp.Or(d(n.ConnectTimeout), 250*time.Millisecond), Idle: cmp.Or(d(n.Idle), 15*time.Second)}
-	c.List = world.List{Least: d(w.List.Least), Most: max(d(w.List.Least), d(w.List.Most))}
+	c.List = world.List{Least: d(w.List.Least), Most: max(d(w.List.Least), d(w.List.Most)), Notice: d(w.List.Notice), Reorder: w.List.Reorder}
+	c.Host = world.Host{Cores: w.Host.Cores, Request: d(w.Host.Request), Attempt: d(w.Host.Attempt), Connect: d(w.Host.Connect)}
 	r := &w.Rules
 	c.Rules = world.Rules{ColdFrom: r.ColdFrom, WarmUp: d(r.WarmUp), FallMultiple: r.FallMultiple, FallTime: d(r.FallTime), DrainGrace: d(r.DrainGrace)}
 	s := &w.Settings
--- /dev/null
+++ b/internal/lab/experiment/recorded.go
@@ -0,0 +1,46 @@
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"hazelwing/internal/lab/world"
+	"hazelwing/internal/standin"
+)
+
+// trafficOf is the file of recorded traffic that an experiment names, or nothing.
+func trafficOf(tree map[string]any) string {
+	for _, name := range []string{"world", "clients"} {
+		tree, _ = tree[name].(map[string]any)
+	}
+	file, _ := tree["traffic"].(string)
+	return file
+}
+
+// recorded reads traffic for the world.
+func recorded(path string) ([]world.Recorded, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	t, err := standin.ReadTraffic(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return Recorded(t), nil
+}
+
+// Recorded is recorded traffic as the world plays it. Keys become numbers, in order of their first appearance.
+func Recorded(t *standin.Traffic) (list []world.Recorded) {
+	us := func(x float64) time.Duration { return time.Duration(x * float64(time.Microsecond)) }
+	keys := map[string]int{"": 0}
+	for _, q := range t.Requests {
+		if _, ok := keys[q.Key]; !ok {
+			keys[q.Key] = len(keys)
+		}
+		list = append(list, world.Recorded{At: q.At(), Class: q.Class, Work: us(q.WorkUS), Hint: us(q.HintUS), Key: keys[q.Key]})
+	}
+	return list
+}
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -17,6 +17,7 @@
 	Network Network
 	List    List
 	Clients Clients
+	Host    Host
 	Rules   Rules
 	Faults  []Fault
 
@@ -71,8 +72,21 @@
 	Idle           time.Duration // after which an idle connection is closed
 }
 
+// Host is the processor of each instance: what is to be handled waits in turn while it is busy, read or not. What a
+// request waits before it is read is not seen by its instance, as on sockets.
+type Host struct {
+	Cores   float64       // that it has; 0: its time is not counted
+	Request time.Duration // a whole core's time to read a request and answer it
+	Attempt time.Duration // to write an attempt and read its answer
+	Connect time.Duration // to open a connection
+}
+
 // List is how instances learn of the nodes.
-type List struct{ Least, Most time.Duration }
+type List struct {
+	Least, Most time.Duration // how late news is, at each instance by itself
+	Notice      time.Duration // on top, until it is known that a process died or started; drains are told by the nodes
+	Reorder     bool          // news may overtake each other
+}
 
 // Clients are those of all instances.
 type Clients struct {
@@ -86,7 +100,11 @@
 	Keys      int     // requests are about so many things; 0: none
 	Impatient float64 // share of the requests whose clients wait for Patience at most, half of it at least, and ask once
 	Patience  time.Duration
-	Curve     []Point // the rate is multiplied by it, linearly between points
+	Curve     []Point       // the rate is multiplied by it, linearly between points
+	Session   float64       // requests of a session on average, one after the other; up to 1: each is alone
+	Think     time.Duration // between a session's requests, on average
+	Skew      time.Duration // the instances' clocks differ from the nodes' by up to it
+	Recorded  []Recorded    // played in place of Rate, Curve and the classes' shares, works and hints
 }
 
 // Point is one of a curve.
@@ -95,6 +113,14 @@
 	Times float64
 }
 
+// Recorded is a request of recorded traffic.
+type Recorded struct {
+	At         time.Duration
+	Class      string
+	Work, Hint time.Duration
+	Key        int
+}
+
 // Rules are the figures in the rules.
 type Rules struct {
 	ColdFrom     float64
@@ -118,21 +144,31 @@
 
 // faults are the kinds, and what each needs.
 var faults = map[string]struct{ nodes, length, times bool }{
-	"slow":    {nodes: true, length: true, times: true}, // Times slower
-	"pause":   {nodes: true, length: true},              // stands still; with Every again and again for half of it
-	"crash":   {nodes: true},                            // resets its connections
-	"vanish":  {nodes: true},                            // says nothing any more
-	"restart": {nodes: true},                            // a new process, cold
-	"drain":   {nodes: true},                            // tells, and leaves when it has nothing left
-	"replace": {nodes: true},                            // drains, and a cold successor comes
-	"reset":   {nodes: true, length: true},              // Times: share of the answers whose connection breaks
-	"flap":    {nodes: true, length: true},              // the list says gone and there again, in turns
-	"cut":     {length: true},                           // Zone's from all others
-	"oneway":  {length: true},                           // nothing that leaves Zone arrives elsewhere
-	"silent":  {length: true},                           // no news of the list
-	"empty":   {length: true},                           // the list is empty
-	"stall":   {length: true},                           // Share of the instances stand still
-	"cost":    {length: true, times: true},              // Share of the requests costs Times as much
+	"slow":     {nodes: true, length: true, times: true}, // Times slower
+	"pause":    {nodes: true, length: true},              // stands still; with Every again and again for half of it
+	"crash":    {nodes: true},                            // resets its connections
+	"vanish":   {nodes: true},                            // says nothing any more
+	"restart":  {nodes: true},                            // a new process, cold
+	"drain":    {nodes: true},                            // tells, and leaves when it has nothing left
+	"replace":  {nodes: true},                            // drains, and a cold successor comes
+	"reset":    {nodes: true, length: true},              // Times: share of the answers whose connection breaks
+	"flap":     {nodes: true, length: true},              // the list says gone and there again, in turns
+	"cut":      {length: true},                           // Zone's from all others
+	"oneway":   {length: true},                           // nothing that leaves Zone arrives elsewhere
+	"silent":   {length: true},                           // no news of the list
+	"empty":    {length: true},                           // the list is empty
+	"halfopen": {nodes: true},                            // connections that are open say nothing any more; new ones do
+	"stall":    {length: true},                           // Share of the instances stand still
+	"cost":     {length: true, times: true},              // Share of the requests costs Times as much
+}
+
+func (c *Config) class(name string) *Class {
+	for i := range c.Classes {
+		if c.Classes[i].Name == name {
+			return &c.Classes[i]
+		}
+	}
+	return nil
 }
 
 // Check says what cannot be used.
@@ -149,13 +185,24 @@
 		return fmt.Errorf("no nodes")
 	case c.Length <= 0 || c.Length > 24*time.Hour:
 		return fmt.Errorf("length %v is not above 0 and up to a day", c.Length)
-	case c.Clients.Instances < 1 || !(c.Clients.Rate > 0):
+	case c.Clients.Instances < 1 || !(c.Clients.Rate > 0) && len(c.Clients.Recorded) == 0:
 		return fmt.Errorf("clients: no instances, or no rate")
 	case !(c.Clients.Impatient >= 0 && c.Clients.Impatient <= 1) || c.Clients.Impatient > 0 && c.Clients.Patience <= 0:
 		return fmt.Errorf("clients: impatient %v is not from 0 to 1, or there is no patience", c.Clients.Impatient)
 	case len(c.Clients.Weights) > 0 && len(c.Clients.Weights) != c.Clients.Instances:
 		return fmt.Errorf("clients: %d weights for %d instances", len(c.Clients.Weights), c.Clients.Instances)
 	}
+	if h := c.Host; !(h.Cores >= 0) || h.Request < 0 || h.Attempt < 0 || h.Connect < 0 {
+		return fmt.Errorf("host: its cores or costs are below 0")
+	}
+	if k := c.Clients; !(k.Session >= 0 && k.Session <= 1000) || k.Think < 0 || k.Skew < 0 || k.Skew >= past {
+		return fmt.Errorf("clients: session %v is not from 0 to 1000, think is below 0, or skew is not from 0 to %v", k.Session, past)
+	}
+	for i, q := range c.Clients.Recorded {
+		if c.class(q.Class) == nil || q.At < 0 || q.Work < 0 || i > 0 && q.At < c.Clients.Recorded[i-1].At {
+			return fmt.Errorf("recorded request %d: its class %q is none, or its time or work cannot be", i+1, q.Class)
+		}
+	}
 	share := 0.0
 	for _, k := range c.Classes {
 		share += k.Share
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -33,7 +33,7 @@
 	case "empty":
 		for _, i := range w.instances {
 			i.handle(balancer.Members{Kind: balancer.Full})
-			w.after(f.For, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()}) })
+			w.after(f.For, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list(i)}) })
 		}
 		return
 	case "stall":
@@ -82,10 +82,12 @@
 		}
 	case "crash", "vanish":
 		n.die(f.What == "vanish")
-		w.tell(n, balancer.Left)
+		w.notice(n, balancer.Left)
 	case "restart":
 		n.rise()
-		w.tell(n, balancer.Active)
+		w.notice(n, balancer.Active)
+	case "halfopen":
+		n.halfOpen = w.now
 	case "drain", "replace":
 		if n.drains || n.dead || n.vanished {
 			return
@@ -99,11 +101,11 @@
 				return
 			}
 			n.die(false)
-			w.tell(n, balancer.Left)
+			w.notice(n, balancer.Left)
 			if f.What == "replace" {
 				w.after(w.cfg.List.Most, func() {
 					n.rise()
-					w.tell(n, balancer.Active)
+					w.notice(n, balancer.Active)
 				})
 			}
 		}
@@ -123,3 +125,13 @@
 		w.after(f.For, func() { w.tell(n, balancer.Active) })
 	}
 }
+
+// notice tells all instances that a process has died or started, once the list knows and unless it is another by then.
+func (w *World) notice(n *node, s balancer.State) {
+	life := n.life
+	w.after(w.cfg.List.Notice, func() {
+		if n.life == life {
+			w.tell(n, s)
+		}
+	})
+}
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -25,12 +26,22 @@
 	news    []func()      // that waits for the end of silence, or of a stall
 	weight  float64
 	number  int
+	skew    time.Duration // of its clock
+	heard   time.Duration // when the last news on its way arrives
+	busy    time.Duration // its processor is, until then
+	used    time.Duration // of its processor, in all
 }
 
 // connections are an instance's to one node.
 type connections struct {
 	open int
-	idle []time.Duration // since when, oldest first
+	idle []conn // oldest first
+}
+
+// conn is a connection: to which process, since when, and when it was last used.
+type conn struct {
+	life         int
+	opened, idle time.Duration
 }
 
 // call is one try of a client's: a request as an instance sees it.
@@ -41,6 +52,7 @@
 	expires  time.Duration
 	attempts []*attempt
 	out      int
+	read     bool // the policy knows of it
 	answered bool
 	left     bool // the client; the policy may not know yet
 	leaving  bool // it does not
@@ -72,10 +84,13 @@
 		i.weight = c.Weights[index]
 	}
 	w.instances = append(w.instances, i)
+	if c.Skew > 0 {
+		i.skew = time.Duration((2*rand.New(rand.NewPCG(seed, 5)).Float64() - 1) * float64(c.Skew))
+	}
 	if t, ok := p.(Told); ok {
 		t.Tell(truth{i})
 	}
-	w.at(0, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()}) })
+	w.at(0, func() { i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list(i)}) })
 	return nil
 }
 
@@ -120,13 +135,17 @@
 			i.wake = at
 			w.at(at, func() {
 				if i.wake == at {
-					i.wake = 0
-					i.handle(balancer.Wake{})
+					i.behind(func() {
+						if i.wake == at {
+							i.wake = 0
+							i.handle(balancer.Wake{})
+						}
+					})
 				}
 			})
 		}
 	case balancer.Subscribe:
-		i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list()})
+		i.handle(balancer.Members{Kind: balancer.Full, Entries: w.list(i)})
 	case balancer.Close:
 		if n := w.byName[a.Upstream]; n != nil {
 			for range i.conns[n.index].idle {
@@ -169,21 +188,54 @@
 	i.number++
 	c := &call{inst: i, id: strconv.Itoa(i.number), req: r, expires: expires}
 	i.calls[c.id] = c
-	e := balancer.Request{ID: c.id, Class: r.class.Name, Expires: expires + past, Hint: r.hint}
-	if r.key > 0 {
-		e.Key = strconv.Itoa(r.key)
-	}
-	i.handle(e)
+	patience := expires - i.w.now
+	i.turn(i.w.cfg.Host.Request, func() {
+		if c.left { // and nobody has told the policy of it
+			delete(i.calls, c.id)
+			return
+		}
+		c.read = true
+		e := balancer.Request{ID: c.id, Class: r.class.Name, Expires: i.w.now + patience + past, Hint: r.hint}
+		if r.key > 0 {
+			e.Key = strconv.Itoa(r.key)
+		}
+		i.handle(e)
+	})
 	return c
 }
 
+// turn does what costs so much of a core's time, after all that came before it. What costs nothing is done at once.
+func (i *instance) turn(cost time.Duration, do func()) {
+	h := &i.w.cfg.Host
+	if h.Cores == 0 || cost == 0 {
+		do()
+		return
+	}
+	cost = time.Duration(float64(cost) / h.Cores)
+	i.busy = max(i.w.now, i.busy) + cost
+	i.used += cost
+	i.w.at(i.busy, do)
+}
+
+// behind does what costs little after all that came before it.
+func (i *instance) behind(do func()) {
+	if i.busy <= i.w.now {
+		do()
+		return
+	}
+	i.w.at(i.busy, do)
+}
+
 // leave says that the client has gone. A host that stands still notices later, in its turn.
 func (i *instance) leave(c *call) {
 	if c.answered {
 		return
 	}
-	c.answered, c.left, c.leaving = true, true, true
-	i.gone(c)
+	c.answered, c.left = true, true
+	if c.read {
+		c.leaving = true
+		i.behind(func() { i.gone(c) })
+	}
 }
 
 func (i *instance) gone(c *call) {
@@ -240,18 +292,20 @@
 }
 
 // takeIdle takes the connection that was used last, if there is one.
-func (i *instance) takeIdle(n *node) bool {
+func (i *instance) takeIdle(n *node, a *attempt) bool {
 	c := &i.conns[n.index]
 	if last := len(c.idle) - 1; last >= 0 && !n.dead {
-		c.idle = c.idle[:last]
+		a.conn, c.idle = c.idle[last], c.idle[:last]
 		return true
 	}
 	return false
 }
 
-func (i *instance) putIdle(n *node) {
+func (i *instance) putIdle(a *attempt) {
+	n := a.node
 	c := &i.conns[n.index]
-	c.idle = append(c.idle, i.w.now)
+	a.conn.idle = i.w.now
+	c.idle = append(c.idle, a.conn)
 	if len(c.idle) == 1 {
 		i.w.after(i.w.cfg.Network.Idle, func() { i.sweep(n) })
 	}
@@ -260,12 +314,12 @@
 // sweep closes what has been idle for long, and looks again while there is more.
 func (i *instance) sweep(n *node) {
 	c := &i.conns[n.index]
-	for len(c.idle) > 0 && i.w.now-c.idle[0] >= i.w.cfg.Network.Idle {
+	for len(c.idle) > 0 && i.w.now-c.idle[0].idle >= i.w.cfg.Network.Idle {
 		c.idle = slices.Delete(c.idle, 0, 1)
 		i.drop(n)
 	}
 	if len(c.idle) > 0 {
-		i.w.at(c.idle[0]+i.w.cfg.Network.Idle, func() { i.sweep(n) })
+		i.w.at(c.idle[0].idle+i.w.cfg.Network.Idle, func() { i.sweep(n) })
 	}
 }
 
@@ -281,23 +335,24 @@
 
 // ---- the list ----
 
-func (n *node) member(s balancer.State) balancer.Member {
+// member is how an instance sees a node: when it came up is told by the node's clock, and read by the instance's.
+func (n *node) member(i *instance, s balancer.State) balancer.Member {
 	m := balancer.Member{Upstream: n.Name, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, State: s}
 	if n.born > 0 {
-		m.CameUp = n.born + past
+		m.CameUp = max(1, n.born+past+i.skew)
 	}
 	return m
 }
 
-// list is the whole list as it is now.
-func (w *World) list() (list []balancer.Member) {
+// list is the whole list as it is now, for an instance.
+func (w *World) list(i *instance) (list []balancer.Member) {
 	for _, n := range w.nodes {
 		switch {
 		case n.dead || n.vanished:
 		case n.drains:
-			list = append(list, n.member(balancer.Leaving))
+			list = append(list, n.member(i, balancer.Leaving))
 		default:
-			list = append(list, n.member(balancer.Active))
+			list = append(list, n.member(i, balancer.Active))
 		}
 	}
 	return list
@@ -305,10 +360,15 @@
 
 // tell tells all instances of a node's state, each late by a time of its own, and in order.
 func (w *World) tell(n *node, s balancer.State) {
-	m := n.member(s)
 	for _, i := range w.instances {
+		m := n.member(i, s)
 		d := w.cfg.List.Least + time.Duration(w.network.Float64()*float64(w.cfg.List.Most-w.cfg.List.Least))
-		w.after(d, func() {
+		at := w.now + d
+		if !w.cfg.List.Reorder {
+			at = max(at, i.heard)
+			i.heard = at
+		}
+		w.at(at, func() {
 			i.hear(func() {
 				if s == balancer.Active {
 					i.told[n.index] = 0
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -24,6 +24,7 @@
 	queued   int
 	got      []arrival // while cold
 	sum      time.Duration
+	halfOpen time.Duration // connections from before it are half open
 
 	conns, connsMost int
 	probes           int
@@ -53,6 +54,9 @@
 	over
 )
 
+// severed says whether a connection is half open: neither side hears the other, and neither knows.
+func (n *node) severed(c conn) bool { return c.opened < n.halfOpen }
+
 func (n *node) speed() float64 {
 	if n.paused {
 		return 0
@@ -196,7 +200,9 @@
 			}
 		}
 	}
-	n.w.lost(n)
+	if !vanish { // else nobody is told: what is open stays so, and says nothing
+		n.w.lost(n)
+	}
 }
 
 // rise starts a new process, cold.
--- a/internal/lab/world/result.go
+++ b/internal/lab/world/result.go
@@ -32,6 +32,7 @@
 	Crossing   float64 `json:"crossing"`   // share of the attempts that left their zone
 	Conns      int     `json:"conns"`      // open to one node at most
 	Probes     float64 `json:"probes"`     // a second, at the node with most
+	Host       float64 `json:"host"`       // share of its processor that the busiest instance used
 	Imbalance  float64 `json:"imbalance"`  // most executions of one node by its speed, over the mean
 	Twice      int     `json:"twice"`      // tries of unsafe requests executed twice, or of keyed ones outside their group
 
@@ -43,6 +44,7 @@
 
 	Seconds []Second `json:"seconds,omitempty"` // by when requests came
 	Events  uint64   `json:"events"`
+	Waiting int      `json:"waiting"` // events that were to come, at most
 }
 
 // Second is one of the run's.
@@ -76,6 +78,7 @@
 type measures struct {
 	w          *World
 	events     uint64
+	waiting    int
 	tries      int
 	attempts   int
 	crossing   int
@@ -207,7 +210,7 @@
 	r := &Result{Seed: seed, Asked: m.requests, Served: m.kinds[Served], Refused: m.kinds[Refused], Failed: m.kinds[Failed],
 		Unanswered: m.kinds[Unanswered], Tries: float64(m.tries) / n, Attempts: float64(m.attempts) / n, Wasted: float64(m.wasted) / n,
 		Handshakes: float64(m.handshakes) / n, Crossing: float64(m.crossing) / float64(max(m.attempts, 1)), Twice: m.twice,
-		Broken: m.broken, Breaks: m.breaks, Events: m.events, WorstClass: 1,
+		Broken: m.broken, Breaks: m.breaks, Events: m.events, Waiting: m.waiting, WorstClass: 1,
 		P50: ms(m.all.ValueAtQuantile(50)), P99: ms(m.all.ValueAtQuantile(99)), P999: ms(m.all.ValueAtQuantile(99.9))}
 	worth, won := 0.0, 0.0
 	for i := range m.worth {
@@ -218,6 +221,9 @@
 		}
 	}
 	r.Service = won / max(worth, 1e-12)
+	for _, i := range m.w.instances {
+		r.Host = max(r.Host, float64(i.used)/float64(m.w.now))
+	}
 	mean, most := 0.0, 0.0
 	for i, x := range m.w.nodes {
 		r.Conns = max(r.Conns, x.connsMost)
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -81,6 +81,7 @@
 	w.clients(stream(4))
 	w.at(cfg.Length, func() { w.through = true })
 	for len(w.queue.list) > 0 && !(w.through && w.open == 0) {
+		w.m.waiting = max(w.m.waiting, len(w.queue.list))
 		e := w.queue.pop()
 		w.now = e.at
 		w.m.events++
@@ -140,9 +141,9 @@
 	call  *call
 	n     int
 	node  *node
-	life  int // of the node's process that the request went to
 	zone  int
 	sent  time.Duration
+	conn  conn
 	ended bool // its outcome is told
 	gone  bool // given up: what comes back is not listened to
 	fresh bool // on a new connection
@@ -156,12 +157,18 @@
 	a.sent = w.now
 	a.zone = w.zones[n.Zone]
 	w.after(timeout, func() { w.giveUp(a, balancer.Timeout) })
-	if i.takeIdle(n) {
-		w.write(a)
+	if i.takeIdle(n, a) {
+		i.turn(w.cfg.Host.Attempt/2, func() { w.write(a) })
 		return
 	}
 	a.fresh = true
 	i.open(n)
+	i.turn(w.cfg.Host.Connect, func() { w.connect(a) })
+}
+
+// connect opens a connection and goes on with it.
+func (w *World) connect(a *attempt) {
+	i, n := a.call.inst, a.node
 	there, ok := w.delay(i.zone, a.zone)
 	back, okBack := w.delay(a.zone, i.zone)
 	if !ok || !okBack || n.vanished {
@@ -176,7 +183,8 @@
 		case n.vanished:
 			w.after(max(0, w.cfg.Network.ConnectTimeout-there-back), func() { w.fail(a, balancer.ConnectFailed) })
 		default:
-			w.write(a)
+			a.conn = conn{life: n.life, opened: w.now}
+			i.turn(w.cfg.Host.Attempt/2, func() { w.write(a) })
 		}
 	})
 }
@@ -188,15 +196,15 @@
 		return
 	}
 	w.m.written(a)
-	a.out, a.life = true, n.life
+	a.out = true
 	d, ok := w.delay(i.zone, a.zone)
-	if !ok {
+	if !ok || n.severed(a.conn) {
 		return // nothing comes back
 	}
 	w.after(d, func() {
 		switch {
 		case n.vanished:
-		case n.dead || n.life != a.life:
+		case n.dead || n.life != a.conn.life:
 			w.reset(a)
 		case a.gone: // its connection was closed, and that came first
 		case !n.take(a):
@@ -208,24 +216,27 @@
 // reply brings an answer back: served, or turned away unseen.
 func (w *World) reply(a *attempt, served bool) {
 	held := float64(a.node.held())
-	d, ok := w.delay(a.zone, a.call.inst.zone)
-	if !ok {
+	i := a.call.inst
+	d, ok := w.delay(a.zone, i.zone)
+	if !ok || a.node.severed(a.conn) {
 		return
 	}
 	w.after(d, func() {
-		if a.ended || a.gone {
-			return
-		}
-		a.call.inst.putIdle(a.node)
-		r := balancer.OK
-		if !served {
-			r = balancer.Overloaded
-		}
-		load := balancer.Load{}
-		if w.cfg.Settings.LoadByProbes {
-			load = balancer.Load{Told: true, Held: held}
-		}
-		w.end(a, r, load)
+		i.turn(w.cfg.Host.Attempt/2, func() {
+			if a.ended || a.gone {
+				return
+			}
+			i.putIdle(a)
+			r := balancer.OK
+			if !served {
+				r = balancer.Overloaded
+			}
+			load := balancer.Load{}
+			if w.cfg.Settings.LoadByProbes {
+				load = balancer.Load{Told: true, Held: held}
+			}
+			w.end(a, r, load)
+		})
 	})
 }
 
