--- a/cmd/hazelwing/check.go
+++ b/cmd/hazelwing/check.go
@@ -5,6 +5,7 @@
 
 	"github.com/spf13/cobra"
 
+	"hazelwing/internal/daemon"
 	"hazelwing/internal/operator"
 )
 
@@ -16,7 +17,11 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var first error
 			for _, path := range args {
-				if _, err := operator.Load(path); err != nil {
+				op, err := operator.Load(path)
+				if err == nil {
+					err = daemon.Check(op)
+				}
+				if err != nil {
 					if first != nil {
 						fmt.Fprintln(cmd.ErrOrStderr(), first)
 					}
--- /dev/null
+++ b/cmd/hazelwing/cost_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"hazelwing/internal/load"
+	"hazelwing/internal/standin/fixture"
+)
+
+var costFigures = flag.Bool("cost.figures", false, "TestProcessorTime: measure what a request costs the daemon")
+
+// What a request costs the daemon of a processor's time, user and system, as a process of its own beside six stand-in
+// nodes. The lab's hosts take their costs from it:
+//
+//	go test ./cmd/hazelwing -run ProcessorTime -cost.figures -v
+func TestProcessorTime(t *testing.T) {
+	if !*costFigures {
+		t.Skip("-cost.figures is not set")
+	}
+	r := newDaemonRig(t, "")
+	const length = 8 * time.Second
+	spent := func(rate float64) (time.Duration, load.Report) {
+		r.start()
+		plan, err := load.Poisson(1, []load.Point{{Rate: max(rate, 1)}}, length, load.Shot{Class: "look", Effect: "safe", Deadline: fixture.Patience, Work: time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		target := load.NewHTTP("http://" + r.addr)
+		defer target.Close()
+		report := load.Run(t.Context(), plan, []load.Target{target}, func(int, load.Kind, time.Duration) {})[0]
+		cmd := r.cmd
+		r.kill()
+		return cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime(), report
+	}
+	idle, _ := spent(1)
+	for _, rate := range []float64{100, 300, 1000, 2000} {
+		took, report := spent(rate)
+		n := 0
+		for _, k := range report.Kinds {
+			n += k
+		}
+		t.Logf("%.0f a second: %v of a core's time a request, %.2f of a core; p50 %.1f ms, p99 %.1f ms; %v", rate, ((took - idle) / time.Duration(n)).Round(time.Microsecond),
+			took.Seconds()/length.Seconds(), report.P50, report.P99, report.Kinds)
+		if report.Kinds["served"] < n*9/10 {
+			t.Errorf("%.0f a second: %v", rate, report.Kinds)
+		}
+	}
+}
--- a/cmd/hazelwing/load.go
+++ b/cmd/hazelwing/load.go
@@ -24,14 +24,14 @@
 	var seed uint64
 	var rate float64
 	var length time.Duration
-	var ramp, traffic string
+	var ramp, traffic, message string
 	var asJSON bool
 	shot := load.Shot{}
 	c := &cobra.Command{
 		Use:   "load URL...",
-		Short: "Load one or more HTTP targets, all with the same requests at the same time",
+		Short: "Load one or more HTTP or gRPC targets, all with the same requests at the same time",
 		Long: `Send requests as the platform's applications do, open loop: each has a time at which it is to be sent, whatever the
-answers before it did, and its latency counts from then. With several targets all get the same requests at the same times.
+answers before it did, and its latency counts from then. A target is http://HOST:PORT, or grpc://HOST:PORT/SERVICE/METHOD. With several targets all get the same requests at the same times.
 Where the machine was too slow to keep its times, the figures say so, and the status is 1.`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -41,12 +41,11 @@
 			}
 			var targets []load.Target
 			for _, a := range args {
-				u, err := url.Parse(a)
-				if err != nil || u.Scheme != "http" || u.Host == "" || strings.Trim(u.Path, "/") != "" {
-					return fmt.Errorf("%q is no target such as http://127.0.0.1:8081", a)
+				t, closed, err := loadTarget(a, message)
+				if err != nil {
+					return err
 				}
-				t := load.NewHTTP(a)
-				defer t.Close()
+				defer closed()
 				targets = append(targets, t)
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
@@ -70,10 +69,36 @@
 	f.StringVar(&shot.Effect, "effect", "safe", "safe, keyed or unsafe")
 	f.DurationVar(&shot.Deadline, "deadline", 2*time.Second, "how long an answer is waited for")
 	f.DurationVar(&shot.Work, "work", 0, "work told to stand-in nodes, and as the hint")
+	f.StringVar(&message, "message", "", "file with the encoded request of gRPC targets; none: a google.protobuf.StringValue")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
 
+// grpcTarget makes a target of a gRPC method; nil where the build leaves gRPC out.
+var grpcTarget func(address string, body []byte) (load.Target, func() error, error)
+
+// loadTarget makes a target of its address, and says how it is let go.
+func loadTarget(address, message string) (load.Target, func() error, error) {
+	u, err := url.Parse(address)
+	if err == nil && u.Scheme == "grpc" {
+		if grpcTarget == nil {
+			return nil, nil, fmt.Errorf("%s: this build (tag small) has no gRPC", address)
+		}
+		var body []byte
+		if message != "" {
+			if body, err = os.ReadFile(message); err != nil {
+				return nil, nil, err
+			}
+		}
+		return grpcTarget(address, body)
+	}
+	if err != nil || u.Scheme != "http" || u.Host == "" || strings.Trim(u.Path, "/") != "" {
+		return nil, nil, fmt.Errorf("%q is no target such as http://127.0.0.1:8081 or grpc://127.0.0.1:8081/booking.v1.Booking/Do", address)
+	}
+	t := load.NewHTTP(address)
+	return t, func() error { t.Close(); return nil }, nil
+}
+
 // planOf makes the plan that the flags say.
 func planOf(seed uint64, rate float64, ramp string, length time.Duration, traffic string, shot load.Shot) (load.Plan, error) {
 	if traffic != "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	front  *httpfront.Server
 	guard  *guard.Guard // nil: there is no ledger of effects
 	admin  net.Listener // nil: there is no endpoint
+	extras []*extra
 	log    *slog.Logger
 }
 
@@ -72,7 +73,8 @@
 	if s.guard != nil {
 		s.front.TakeKeys()
 	}
-	return s, nil
+	s.extras, err = openExtras(op, set, doer, log)
+	return s, err
 }
 
 // close lets go what the operator's file has asked for. The engine has ended.
@@ -84,6 +86,9 @@
 	if s.admin != nil {
 		s.admin.Close()
 	}
+	for _, x := range s.extras {
+		x.listener.Close()
+	}
 	return err
 }
 
@@ -93,6 +98,9 @@
 	if s.guard != nil {
 		p["ledger"] = func() any { return s.guard.State() }
 	}
+	for _, x := range s.extras {
+		p[x.name] = x.state
+	}
 	return p
 }
 
@@ -118,5 +126,25 @@
 	}
 	defer parts.Wait()
 	defer end()
-	return s.front.Serve(ctx, listener, cfg.Limits.ClientConns(), log)
+	return s.serve(ctx, listener, cfg.Limits.ClientConns())
+}
+
+// serve runs all fronts until ctx ends or one of them fails, and returns when each has answered what it took.
+func (s *sidecar) serve(ctx context.Context, l net.Listener, conns int) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	faults := make([]error, len(s.extras))
+	var all sync.WaitGroup
+	for i, x := range s.extras {
+		all.Go(func() {
+			defer stop()
+			if err := x.serve(ctx, x.listener); err != nil {
+				faults[i] = fmt.Errorf("%s: %w", x.name, err)
+			}
+		})
+	}
+	err := s.front.Serve(ctx, l, conns, s.log)
+	stop()
+	all.Wait()
+	return errors.Join(append(faults, err)...)
 }
--- /dev/null
+++ b/internal/daemon/graphql.go
@@ -0,0 +1,101 @@
+//go:build !small
+
+package daemon
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/front/graphqlfront"
+	"hazelwing/internal/front/httpfront"
+	"hazelwing/internal/graphql/plan"
+	"hazelwing/internal/operator"
+)
+
+func init() {
+	openGraphQL = func(op *operator.Config, set balancer.Settings, doer httpfront.Doer, log *slog.Logger) (*extra, error) {
+		s, err := graphQL(op, set.Classes, doer, log)
+		if err != nil {
+			return nil, err
+		}
+		return &extra{name: "graphql", listen: op.GraphQL.Listen, serve: s.Serve, state: func() any { return s.State() }}, nil
+	}
+	checkGraphQL = func(op *operator.Config) error {
+		_, err := graphQL(op, nil, nil, nil)
+		return err
+	}
+}
+
+// mostFile bounds the schema and the trusted documents.
+const mostFile = 16 << 20
+
+// graphQL makes the front of the operator's file; without classes it only checks what can be known without them.
+func graphQL(op *operator.Config, classes []balancer.Class, doer httpfront.Doer, log *slog.Logger) (*graphqlfront.Server, error) {
+	g := op.GraphQL
+	text, err := readFile(g.Schema)
+	if err != nil {
+		return nil, fmt.Errorf("%s: graphql.schema: %w", op.At("graphql.schema"), err)
+	}
+	fields := map[string]plan.Field{}
+	for name, f := range g.Field {
+		fields[name] = plan.Field{Class: f.Class, Key: f.Key, Cost: int(f.Cost), Work: time.Duration(f.Work), Deadline: time.Duration(f.Deadline), Share: f.Share}
+	}
+	schema, err := plan.New(plan.Config{Name: g.Schema, SDL: string(text), Fields: fields, Classes: classes, Introspection: g.Introspect,
+		Limits: plan.Limits{Bytes: int(g.MaxDocument), Tokens: int(g.MaxTokens), Depth: int(g.MaxDepth), Aliases: int(g.MaxAliases), Roots: int(g.MaxRoots),
+			Fields: int(g.MaxFields), Cost: int(g.MaxCost)}})
+	if err != nil {
+		return nil, located(op, err)
+	}
+	trusted := map[string]string{}
+	if g.Trusted != "" {
+		text, err := readFile(g.Trusted)
+		if err == nil {
+			err = json.Unmarshal(text, &trusted)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: graphql.trusted: %w", op.At("graphql.trusted"), err)
+		}
+	}
+	s, err := graphqlfront.New(graphqlfront.Config{Schema: schema, Doer: doer, Path: g.Path, Node: g.NodePath, Conns: int(g.Connections),
+		Deadline: time.Duration(g.Deadline), MaxBody: int64(g.MaxBody), MaxBatch: int(g.MaxBatch), MaxParts: int(g.MaxParts), Documents: int(g.Documents),
+		Persisted: g.Persisted, Trusted: trusted, Only: g.OnlyTrusted, Log: log})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", op.At("graphql.trusted"), err)
+	}
+	return s, nil
+}
+
+func readFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > mostFile {
+		err = fmt.Errorf("%s is larger than %d bytes", path, mostFile)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return os.ReadFile(path)
+}
+
+// located gives each fault of the mapping its place in the operator's file; those of the schema have one in the schema.
+func located(op *operator.Config, err error) error {
+	list := []error{err}
+	if all, ok := err.(interface{ Unwrap() []error }); ok {
+		list = all.Unwrap()
+	}
+	var lines []string
+	for _, e := range list {
+		var f plan.FieldFault
+		if errors.As(e, &f) {
+			lines = append(lines, fmt.Sprintf("%s: graphql.field.%q: %v", op.At("graphql.field."+f.Field), f.Field, f.Err))
+			continue
+		}
+		lines = append(lines, e.Error())
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/front/graphqlfront/execute.go
@@ -0,0 +1,205 @@
+package graphqlfront
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/graphql/plan"
+	"hazelwing/internal/httpmsg"
+)
+
+// job is one HTTP request while it is carried out.
+type job struct {
+	s       *Server
+	request *http.Request
+	header  http.Header // that goes on to nodes
+	expires time.Time
+}
+
+// carryOut plans all requests of a batch, carries them out at the same time, and answers.
+func (s *Server) carryOut(r *http.Request, list []params, batch bool, kind string, expires time.Time) answer {
+	j := &job{s: s, request: r, header: onward(r.Header), expires: expires}
+	key := r.Header.Get(httpmsg.KeyHeader)
+	plans := make([]*plan.Plan, len(list))
+	faults := make([][]*plan.Error, len(list))
+	effects := map[string]bool{}
+	for i := range list {
+		own := key
+		if own != "" && batch {
+			own += "/" + strconv.Itoa(i)
+		}
+		if plans[i], faults[i] = s.plan(r, &list[i], own); len(faults[i]) > 0 {
+			continue
+		}
+		s.count.operations.Add(1)
+		for _, p := range plans[i].Parts {
+			effect := p.Class + " " + p.Key
+			if p.Effect == balancer.Safe || p.Key == "" {
+				continue
+			}
+			if effects[effect] {
+				plans[i], faults[i] = nil, []*plan.Error{plan.NewError(plan.KeyTwice, "another request of the batch has the same key: only one could run")}
+				break
+			}
+			effects[effect] = true
+		}
+	}
+	responses := make([]plan.Response, len(list))
+	var all sync.WaitGroup
+	for i := range list {
+		if plans[i] == nil {
+			responses[i].Body = plan.Failed(faults[i]...)
+			continue
+		}
+		all.Go(func() { responses[i] = j.run(plans[i]) })
+	}
+	all.Wait()
+	if r.Context().Err() != nil {
+		return answer{}
+	}
+	a := answer{status: http.StatusOK, media: kind, body: responses[0].Body}
+	refused := true
+	for _, x := range responses {
+		refused = refused && x.Refused
+		a.retryIn = max(a.retryIn, x.RetryIn)
+	}
+	switch {
+	case refused: // nothing ran: trying again is harmless, and the status says so to all on the way
+		a.status = http.StatusServiceUnavailable
+	case !batch && plans[0] == nil:
+		a.status = statusOf(kind, faults[0][0])
+		if a.status == http.StatusMethodNotAllowed {
+			a.allow = "POST"
+		}
+	}
+	if batch {
+		bodies := make([][]byte, len(list))
+		for i, x := range responses {
+			bodies[i] = x.Body
+		}
+		a.body = append(append([]byte{'['}, bytes.Join(bodies, []byte(","))...), ']')
+	}
+	return a
+}
+
+// own are headers that a part has of its own.
+var own = []string{"Accept", "Accept-Encoding", "Content-Type", "Content-Length", httpmsg.IDHeader, httpmsg.ClassHeader, httpmsg.KeyHeader, httpmsg.DeadlineHeader}
+
+func onward(h http.Header) http.Header {
+	out := httpmsg.Onward(h)
+	for _, name := range own {
+		out.Del(name)
+	}
+	return out
+}
+
+// run carries out a plan.
+func (j *job) run(p *plan.Plan) plan.Response {
+	outcomes := make([]plan.Outcome, len(p.Parts))
+	if !p.Serial {
+		var all sync.WaitGroup
+		for i, part := range p.Parts {
+			all.Go(func() { outcomes[i] = j.query(part) })
+		}
+		all.Wait()
+		return p.Merge(outcomes)
+	}
+	goes := true
+	for i, part := range p.Parts {
+		if !goes || j.request.Context().Err() != nil || time.Until(j.expires) <= 0 {
+			outcomes[i] = plan.Outcome{Ended: plan.WasNotStarted, Why: "not started: the mutation before it did not end well, or the time is up"}
+			goes = false
+			continue
+		}
+		outcomes[i] = j.part(part)
+		goes = p.Goes(outcomes[i])
+	}
+	return p.Merge(outcomes)
+}
+
+// query carries out a part of a query, or takes the answer of one like it that is in flight.
+func (j *job) query(p *plan.Part) plan.Outcome {
+	if !p.Share {
+		return j.part(p)
+	}
+	key := flightKey(p, j.header)
+	expires := j.partExpires(p)
+	o, shared := j.s.flights.do(j.request.Context(), key, expires, func() plan.Outcome {
+		alone := *j // whoever asked first may leave: the others wait for it
+		alone.request = j.request.WithContext(context.WithoutCancel(j.request.Context()))
+		return alone.part(p)
+	})
+	if shared {
+		j.s.count.shared.Add(1)
+	}
+	return o
+}
+
+// partExpires is when a part's answer is of no more use.
+func (j *job) partExpires(p *plan.Part) time.Time {
+	if p.Deadline > 0 {
+		if t := time.Now().Add(p.Deadline); t.Before(j.expires) {
+			return t
+		}
+	}
+	return j.expires
+}
+
+// part makes one call of a part.
+func (j *job) part(p *plan.Part) plan.Outcome {
+	s := j.s
+	select {
+	case s.places <- struct{}{}:
+		defer func() { <-s.places }()
+	default:
+		s.count.refused.Add(1)
+		return plan.Outcome{Ended: plan.WasRefused, Why: "refused: too much is in hand; trying again is harmless"}
+	}
+	s.count.parts.Add(1)
+	id := s.prefix + strconv.FormatUint(s.last.Add(1), 36)
+	header := j.header.Clone()
+	header.Set("Content-Type", jsonMedia)
+	header.Set("Accept", respMedia+", "+jsonMedia+";q=0.9")
+	header.Set(httpmsg.IDHeader, id)
+	header.Set(httpmsg.ClassHeader, p.Class)
+	if p.Key != "" {
+		header.Set(httpmsg.KeyHeader, p.Key)
+	}
+	c := &engine.Call{ID: id, Class: p.Class, Tenant: j.request.Header.Get(httpmsg.TenantHeader), Key: p.About, Identity: p.Key, Hint: p.Work,
+		Expires: j.partExpires(p),
+		Payload: &httpmsg.Request{Method: http.MethodPost, URI: s.cfg.Node, Host: j.request.Host, Header: header, Body: p.Body,
+			Check: func(a *httpmsg.Answer) error { _, err := p.Read(a.Body); return err }}}
+	return s.outcome(p, s.cfg.Doer.Do(j.request.Context(), c))
+}
+
+// outcome says what a result means for a part.
+func (s *Server) outcome(p *plan.Part, r engine.Result) plan.Outcome {
+	switch r.Kind {
+	case engine.Served:
+		a := r.Answer.(*httpmsg.Answer)
+		read, err := p.Read(a.Body)
+		switch {
+		case err == nil && read.Executed():
+			return plan.Outcome{Ended: plan.Answered, Answer: read}
+		case err == nil:
+			return plan.Outcome{Ended: plan.TurnedDown, Answer: read}
+		case a.Status != http.StatusOK: // it blames the request, in words that are not GraphQL's
+			return plan.Outcome{Ended: plan.TurnedDown, Answer: p.Blamed(fmt.Sprintf("a node turned it down with status %d", a.Status))}
+		}
+	case engine.Refused:
+		s.count.refused.Add(1)
+		return plan.Outcome{Ended: plan.WasRefused, RetryIn: r.RetryIn, Why: "refused: nothing ran; trying again is harmless"}
+	}
+	s.count.mayHaveRun.Add(1)
+	if p.Effect == balancer.Safe {
+		return plan.Outcome{Ended: plan.MayRun, Why: "no node answered this in time"}
+	}
+	return plan.Outcome{Ended: plan.MayRun, Why: "no answer: it may have run"}
+}
--- /dev/null
+++ b/internal/graphql/plan/plan_test.go
@@ -0,0 +1,209 @@
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/standin/gqlnode"
+)
+
+var classes = []balancer.Class{
+	{Name: "search", Aim: time.Second, Deadline: 2 * time.Second},
+	{Name: "map", Aim: time.Second, Deadline: 2 * time.Second},
+	{Name: "book", Aim: time.Second, Deadline: 2 * time.Second, Effect: balancer.Unsafe},
+	{Name: "pay", Aim: time.Second, Deadline: 2 * time.Second, Effect: balancer.Keyed, Window: 5 * time.Second},
+}
+
+// mapping is that of the stand-in nodes' schema.
+func mapping() map[string]Field {
+	return map[string]Field{
+		"Query.seats": {Class: "search", Key: "train", Cost: 2, Share: true}, "Query.coach": {Class: "map", Deadline: time.Second, Work: time.Millisecond},
+		"Query.booking": {Class: "search"}, "Query.items": {Class: "search"}, "Query.fails": {Class: "search"},
+		"Mutation.confirmBooking": {Class: "book", Key: "token"}, "Mutation.holdSeat": {Class: "book"}, "Mutation.recordPayment": {Class: "pay", Key: "input.key"},
+	}
+}
+
+func config() Config {
+	return Config{Name: "booking.graphql", SDL: gqlnode.SDL, Fields: mapping(), Classes: classes, Limits: DefaultLimits}
+}
+
+func schema(t testing.TB, change func(*Config)) *Schema {
+	t.Helper()
+	c := config()
+	if change != nil {
+		change(&c)
+	}
+	s, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// The scripts read as documents and, under each, what becomes of it; then as ends of the parts, and the response.
+//
+//	plan [op=NAME] [key=KEY] [introspection]    input: the document, after a line "vars: JSON" where there are some
+//	merge                                       input: a line for each part: answered JSON | refused [MS] | may | notstarted
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var p *Plan
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "plan":
+				var text string
+				p, text = planned(t, d)
+				return text
+			case "merge":
+				return merged(p, d.Input)
+			}
+			return "no such command"
+		})
+	})
+}
+
+func planned(t *testing.T, d *datadriven.TestData) (*Plan, string) {
+	var op, key string
+	d.MaybeScanArgs(t, "op", &op)
+	d.MaybeScanArgs(t, "key", &key)
+	s := schema(t, func(c *Config) {
+		c.Introspection = d.HasArg("introspection")
+		if c.Introspection {
+			return
+		}
+		c.Limits.Roots, c.Limits.Depth, c.Limits.Aliases, c.Limits.Cost, c.Limits.Fields = 6, 5, 6, 8, 40
+	})
+	text := d.Input
+	var vars map[string]json.RawMessage
+	if line, rest, ok := strings.Cut(text, "\n"); ok && strings.HasPrefix(line, "vars: ") {
+		if err := json.Unmarshal([]byte(line[6:]), &vars); err != nil {
+			t.Fatal(err)
+		}
+		text = rest
+	}
+	doc, errs := s.Document(text)
+	if len(errs) > 0 {
+		var out []string
+		for _, e := range errs {
+			out = append(out, fmt.Sprintf("%s: %s %v", e.Code(), e.Message, e.Locations))
+		}
+		return nil, strings.Join(out, "\n")
+	}
+	p, err := doc.Plan(op, vars, key)
+	if err != nil {
+		return nil, fmt.Sprintf("%s: %s %v", err.Code(), err.Message, err.Path)
+	}
+	var b strings.Builder
+	for i, x := range p.Parts {
+		fmt.Fprintf(&b, "%d: %s %v", i+1, x.Class, x.Fields)
+		if x.Key != "" {
+			fmt.Fprintf(&b, " key=%s", x.Key)
+		}
+		if x.About != "" {
+			fmt.Fprintf(&b, " about=%s", x.About)
+		}
+		if x.Share {
+			b.WriteString(" share")
+		}
+		fmt.Fprintf(&b, " within %v\n   %s\n", x.Deadline, x.Body)
+		if _, errs := s.Document(decoded(x.Body)); len(errs) > 0 {
+			fmt.Fprintf(&b, "   NOT VALID BY ITSELF: %s\n", errs[0].Message)
+		}
+	}
+	if len(p.Parts) == 0 {
+		b.WriteString("nothing to send\n")
+	}
+	return p, b.String()
+}
+
+func decoded(body []byte) string {
+	var r request
+	json.Unmarshal(body, &r)
+	return r.Query
+}
+
+func merged(p *Plan, input string) string {
+	if p == nil {
+		return "there is no plan"
+	}
+	var outcomes []Outcome
+	goes := true
+	if input == "" {
+		input = "-"
+	}
+	for i, line := range strings.Split(input, "\n") {
+		what, rest, _ := strings.Cut(line, " ")
+		var o Outcome
+		switch what {
+		case "-":
+			continue
+		case "answered":
+			a, err := p.Parts[i].Read([]byte(rest))
+			if err != nil {
+				return "not an answer: " + err.Error()
+			}
+			if o.Ended, o.Answer = Answered, a; !a.Executed() {
+				o.Ended = TurnedDown
+			}
+		case "refused":
+			d, _ := time.ParseDuration(rest)
+			o = Outcome{Ended: WasRefused, RetryIn: d, Why: "refused"}
+		case "may":
+			o = Outcome{Ended: MayRun, Why: "no answer"}
+		case "notstarted":
+			o = Outcome{Ended: WasNotStarted, Why: "not started"}
+			if goes {
+				return "it could have been started"
+			}
+		}
+		if p.Serial {
+			goes = p.Goes(o)
+		}
+		outcomes = append(outcomes, o)
+	}
+	r := p.Merge(outcomes)
+	out := string(r.Body)
+	if !json.Valid(r.Body) {
+		out += "\nNOT JSON"
+	}
+	if r.Refused {
+		out += fmt.Sprintf("\nrefused as a whole, come back in %v", r.RetryIn)
+	}
+	return out
+}
+
+// The schema and the mapping have to fit, and what does not is named with its place.
+func TestConfigFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Config)
+		want   string
+	}{
+		"no class":       {func(c *Config) { delete(c.Fields, "Query.coach") }, "booking.graphql:56:3: Query.coach has no class"},
+		"unknown field":  {func(c *Config) { c.Fields["Query.seat"] = Field{Class: "map"} }, "Query.seat: the schema has no such root field"},
+		"unknown class":  {func(c *Config) { c.Fields["Query.coach"] = Field{Class: "x"} }, "Query.coach: class \"x\" is none"},
+		"empty class":    {func(c *Config) { c.Fields["Query.coach"] = Field{} }, "class is missing"},
+		"unsafe query":   {func(c *Config) { c.Fields["Query.coach"] = Field{Class: "book"} }, "not safe to repeat"},
+		"shared":         {func(c *Config) { c.Fields["Mutation.holdSeat"] = Field{Class: "book", Share: true} }, "share goes with queries"},
+		"cost":           {func(c *Config) { c.Fields["Query.coach"] = Field{Class: "map", Cost: -1} }, "not below 0"},
+		"no argument":    {func(c *Config) { c.Fields["Mutation.holdSeat"] = Field{Class: "book", Key: "tokn"} }, "no argument \"tokn\""},
+		"no input field": {func(c *Config) { c.Fields["Mutation.recordPayment"] = Field{Class: "pay", Key: "input.keys"} }, "PaymentInput has no field \"keys\""},
+		"no input":       {func(c *Config) { c.Fields["Mutation.holdSeat"] = Field{Class: "book", Key: "seat.x"} }, "\"seat\" has no fields"},
+		"no scalar":      {func(c *Config) { c.Fields["Mutation.recordPayment"] = Field{Class: "pay", Key: "input"} }, "is no scalar"},
+		"SDL":            {func(c *Config) { c.SDL = "type Query {\n  x: Nothing }" }, "booking.graphql:2:"},
+		"subscription": {func(c *Config) {
+			c.SDL = "type Query { x: Int }\ntype Subscription { y: Int }"
+			c.Fields = map[string]Field{"Query.x": {Class: "map"}}
+		}, "2:6: subscriptions are not carried"},
+	} {
+		cfg := config()
+		c.change(&cfg)
+		if _, err := New(cfg); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", name, err, c.want)
+		}
+	}
+}
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -31,6 +31,9 @@
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
+	// Check says why an answer with status 200 is none to this request, such as another's or half of one; nil: any is.
+	// The transport calls it from the attempt's goroutine, and takes what it turns down for an error of the node's.
+	Check func(*Answer) error
 }
 
 // Answer is what a client gets.
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -100,6 +100,7 @@
 	Loss           float64
 	ConnectTimeout strict.Duration `toml:"connect_timeout"`
 	Idle           strict.Duration
+	Multiplexed    bool
 }
 
 // List is described at Clients.
@@ -429,7 +430,7 @@
 	}
 	n := &w.Network
 	c.Network = world.Network{Same: d(n.Same), Cross: d(n.Cross), Jitter: d(n.Jitter), Loss: n.Loss, RetransmitTime: 200 * time.Millisecond,
-		ConnectTimeout: cmp.Or(d(n.ConnectTimeout), 250*time.Millisecond), Idle: cmp.Or(d(n.Idle), 15*time.Second)}
+		ConnectTimeout: cmp.Or(d(n.ConnectTimeout), 250*time.Millisecond), Idle: cmp.Or(d(n.Idle), 15*time.Second), Multiplexed: n.Multiplexed}
 	c.List = world.List{Least: d(w.List.Least), Most: max(d(w.List.Least), d(w.List.Most)), Notice: d(w.List.Notice), Reorder: w.List.Reorder}
 	c.Host = world.Host{Cores: w.Host.Cores, Request: d(w.Host.Request), Attempt: d(w.Host.Attempt), Connect: d(w.Host.Connect)}
 	r := &w.Rules
--- a/internal/lab/rival/pickers.go
+++ b/internal/lab/rival/pickers.go
@@ -21,13 +21,14 @@
 }{
 	"round_robin": {"gRPC's round_robin (grpc/doc/load-balancing.md)", func(b *rival) picker { return &roundRobin{next: b.rng.IntN(1 << 20)} }},
 	"random":      {"uniform choice", func(b *rival) picker { return &random{plain{b}} }},
+	"pick_first":  {"gRPC's pick_first with a shuffled list (gRFC A62)", func(b *rival) picker { return &pickFirst{plain: plain{b}} }},
 	"least":       {"least requests of all, as NGINX's least_conn", func(b *rival) picker { return &least{plain{b}} }},
 	"p2c": {"least requests of two: Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001",
 		func(b *rival) picker { return &p2c{plain{b}} }},
 	Truth: {"no policy: each request goes where its answer would come first, told what really holds, and is refused where none would come in time",
 		func(b *rival) picker { return &told{plain{b}} }},
-	"weighted": {"gRPC's weighted_round_robin (gRFC A58), by reports of what a server holds, weights drawn",
-		func(b *rival) picker { return &weighted{plain{b}} }},
+	"weighted": {"gRPC's weighted_round_robin (gRFC A58), by reports of what a server holds",
+		func(b *rival) picker { return &weighted{plain: plain{b}} }},
 	"peak_ewma": {"Finagle's P2C peak EWMA (twitter.github.io/finagle/guide/Clients.html)", func(b *rival) picker { return &peakEWMA{plain{b}} }},
 	"ring_bounded": {"consistent hashing with bounded loads: Mirrokni, Thorup, Zadimoghaddam, 2016; factor 1.25",
 		func(b *rival) picker { return &ring{plain: plain{b}} }},
@@ -43,6 +44,19 @@
 func (plain) listed()                                                      {}
 func (plain) ended(*server, balancer.Result, time.Duration, balancer.Load) {}
 
+// pickFirst stays with one server while it can be had.
+type pickFirst struct {
+	plain
+	at *server
+}
+
+func (p *pickFirst) pick(_ *request, ready []*server) *server {
+	if !slices.Contains(ready, p.at) {
+		p.at = ready[p.b.rng.IntN(len(ready))]
+	}
+	return p.at
+}
+
 type roundRobin struct {
 	plain
 	next int
@@ -145,46 +159,63 @@
 	}
 }
 
-// weighted: a server's weight is what it serves for each request that it says it holds.
-type weighted struct{ plain }
+// weighted takes servers by weights: requests a second over utilisation, as servers report them, taken over every
+// weightEvery and forgotten after weightLife without a report. A server that holds four for each of its cores says that it
+// is full. Who comes next is by earliest deadline first, as in gRPC, which spreads more evenly than drawing does.
+type weighted struct {
+	plain
+	taken time.Duration
+}
 
-const weightEvery = time.Second
+const (
+	weightEvery = 100 * time.Millisecond // the least that A58 allows
+	weightLife  = 5 * time.Second
+	fullHeld    = 4.0
+	leastUtil   = 0.01
+)
 
 func (p *weighted) pick(_ *request, ready []*server) *server {
-	mean, n := 0.0, 0
+	if p.b.now-p.taken >= weightEvery {
+		p.update()
+	}
+	next := ready[0]
 	for _, s := range ready {
+		if s.deadline < next.deadline {
+			next = s
+		}
+	}
+	next.deadline += 1 / next.weight
+	return next
+}
+
+// update takes over the weights; who has none gets the others' mean.
+func (p *weighted) update() {
+	p.taken = p.b.now
+	mean, n := 0.0, 0.0
+	for _, s := range p.b.list {
+		if s.weight = s.reported; p.b.now-s.stamp > weightLife {
+			s.weight = 0
+		}
 		if s.weight > 0 {
 			mean, n = mean+s.weight, n+1
 		}
 	}
-	if n == 0 {
-		return ready[p.b.rng.IntN(len(ready))]
-	}
-	mean /= float64(n)
-	sum := 0.0
-	for _, s := range ready {
-		sum += cmp.Or(s.weight, mean)
-	}
-	x := p.b.rng.Float64() * sum
-	for _, s := range ready {
-		if x -= cmp.Or(s.weight, mean); x < 0 {
-			return s
-		}
+	mean = cmp.Or(mean, 1) / max(n, 1)
+	for _, s := range p.b.list {
+		s.weight = cmp.Or(s.weight, mean)
+		s.deadline = p.b.rng.Float64() / s.weight
 	}
-	return ready[len(ready)-1]
 }
 
+func (p *weighted) listed() { p.update() }
+
 func (p *weighted) ended(s *server, r balancer.Result, _ time.Duration, load balancer.Load) {
 	if r == balancer.OK {
 		s.served++
 	}
 	if load.Told {
-		s.held += load.Held
-		s.reports++
-	}
-	if d := p.b.now - s.stamp; d >= weightEvery && s.reports > 0 {
-		s.weight = float64(s.served) / d.Seconds() / (s.held/float64(s.reports) + 1)
-		s.stamp, s.served, s.held, s.reports = p.b.now, 0, 0, 0
+		rate := max(1, float64(s.served)/max((p.b.now-s.since).Seconds(), 0.1))
+		s.reported, s.stamp = rate/min(1, max(leastUtil, load.Held/fullHeld)), p.b.now
 	}
 }
 
--- a/internal/lab/rival/rival.go
+++ b/internal/lab/rival/rival.go
@@ -108,12 +108,13 @@
 	until    time.Duration
 	hash     uint64
 
-	ewma    float64 // seconds
-	stamp   time.Duration
-	served  int // since stamp, of weights
-	held    float64
-	weight  float64
-	reports int
+	ewma     float64 // seconds
+	stamp    time.Duration
+	since    time.Duration // it was heard of first
+	served   int
+	reported float64 // weight, by its last report at stamp
+	weight   float64 // as it is used
+	deadline float64 // of its next turn
 }
 
 type request struct {
@@ -209,7 +210,7 @@
 	for _, m := range e.Entries {
 		s := b.servers[m.Upstream]
 		if s == nil {
-			s = &server{id: m.Upstream, hash: hash(m.Upstream)}
+			s = &server{id: m.Upstream, hash: hash(m.Upstream), since: b.now}
 			b.servers[s.id] = s
 			b.list = append(b.list, s)
 		}
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -70,6 +70,7 @@
 	RetransmitTime time.Duration
 	ConnectTimeout time.Duration
 	Idle           time.Duration // after which an idle connection is closed
+	Multiplexed    bool          // an instance has one connection to a node, as with HTTP/2: what breaks it breaks all that is on it
 }
 
 // Host is the processor of each instance: what is to be handled waits in turn while it is busy, read or not. What a
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -36,6 +36,7 @@
 type connections struct {
 	open int
 	idle []conn // oldest first
+	one  conn   // where all share it
 }
 
 // conn is a connection: to which process, since when, and when it was last used.
@@ -287,13 +288,23 @@
 
 // drop closes one.
 func (i *instance) drop(n *node) {
-	i.conns[n.index].open--
+	c := &i.conns[n.index]
+	if i.w.cfg.Network.Multiplexed { // all that is on it learns the same
+		n.conns -= c.open
+		c.open, c.one = 0, conn{}
+		return
+	}
+	c.open--
 	n.conns--
 }
 
 // takeIdle takes the connection that was used last, if there is one.
 func (i *instance) takeIdle(n *node, a *attempt) bool {
 	c := &i.conns[n.index]
+	if i.w.cfg.Network.Multiplexed && c.open > 0 && c.one.opened > 0 {
+		a.conn = c.one
+		return true
+	}
 	if last := len(c.idle) - 1; last >= 0 && !n.dead {
 		a.conn, c.idle = c.idle[last], c.idle[:last]
 		return true
@@ -303,6 +314,9 @@
 
 func (i *instance) putIdle(a *attempt) {
 	n := a.node
+	if i.w.cfg.Network.Multiplexed {
+		return
+	}
 	c := &i.conns[n.index]
 	a.conn.idle = i.w.now
 	c.idle = append(c.idle, a.conn)
--- a/internal/lab/world/models_test.go
+++ b/internal/lab/world/models_test.go
@@ -83,10 +83,13 @@
 		{"vanished, and back", "vanish restart", "OK* Timeout ConnectFailed* OK*"},
 		{"vanished, and back before anything was written", "vanish restart-soon", "OK* Reset OK*"},
 		{"crashed, and back", "crash restart", "OK* ConnectFailed* OK*"},
+		{"half open, one for all", "mux halfopen", "OK* Timeout*"},
 	} {
 		cfg := plain(1, 1, 10, 0.5, Work{"fixed", ms, 0}, 60*time.Second)
 		cfg.Network.Same, cfg.Network.ConnectTimeout = ms, 100*ms
-		for i, f := range strings.Fields(c.faults) {
+		faults, mux := strings.CutPrefix(c.faults, "mux ")
+		cfg.Network.Multiplexed = mux
+		for i, f := range strings.Fields(faults) {
 			f, soon := strings.CutSuffix(f, "-soon")
 			at := 20*time.Second + time.Duration(i)*20*time.Second
 			if soon {
@@ -234,3 +237,23 @@
 		t.Errorf("at most %d events to come in a minute, %d in a quarter of it", long, short)
 	}
 }
+
+// Where all share a connection, one answer that breaks it breaks what else is on it, of that instance alone.
+func TestOneConnectionForAll(t *testing.T) {
+	for _, c := range []struct {
+		mux    bool
+		resets int
+	}{{false, 1}, {true, 3}} {
+		cfg := plain(1, 1, 10, 1, Work{"fixed", 10 * ms, 0}, 20*time.Second)
+		cfg.Network.Same, cfg.Network.Multiplexed = ms, c.mux
+		for _, at := range []time.Duration{0, 1000, 1000, 1000} {
+			cfg.Clients.Recorded = append(cfg.Clients.Recorded, Recorded{At: at * ms, Class: "c", Work: 10 * ms})
+		}
+		cfg.Faults = []Fault{{At: 500 * ms, What: "reset", Node: "n0", Times: 1, For: 513 * ms}}
+		var log []string
+		r, err := Run(cfg, noting(1, &log, nil), 1)
+		if got := strings.Count(strings.Join(log, " "), "Reset"); err != nil || got != c.resets || len(log) != 4 || r.Conns > 4 {
+			t.Errorf("multiplexed %v: %v, %d connections, %v", c.mux, log, r.Conns, err)
+		}
+	}
+}
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -147,12 +147,25 @@
 	n.remove(j)
 	if n.breaks > 0 && n.w.chance.Float64() < n.breaks {
 		n.w.reset(j.a)
+		if n.w.cfg.Network.Multiplexed {
+			n.cut(j.a.call.inst)
+		}
 	} else {
 		n.w.reply(j.a, true)
 	}
 	n.next()
 }
 
+// cut ends all that an instance has here: its only connection broke.
+func (n *node) cut(i *instance) {
+	for _, j := range append(slices.Clone(n.running), n.waiting...) {
+		if j != nil && j.state != over && j.a.call.inst == i {
+			n.stop(j)
+			n.w.reset(j.a)
+		}
+	}
+}
+
 func (n *node) remove(j *job) {
 	j.state = over
 	n.running = slices.DeleteFunc(n.running, func(x *job) bool { return x == j })
--- a/internal/lab/world/queue.go
+++ b/internal/lab/world/queue.go
@@ -3,11 +3,26 @@
 import "time"
 
 // queue holds what is to happen, earliest first; of the same instant, in the order of asking.
+//
+// Most of what waits is what may be needed and mostly is not: the ends of clients' patience and of attempts' time-outs,
+// seconds ahead. In one heap they make each push and pop go through all levels of a list that no cache holds. So only
+// what comes next is in a heap (near); what comes within the wheel's turn lies unsorted in the slot of its time, and is
+// put in order when its time comes; what is further ahead waits in a heap of its own (far). Beside one heap of all:
+// BenchmarkQueue.
 type queue struct {
-	list []event
-	seq  uint64
+	near  events // all that is before the end of the slot at
+	slots [wheel][]event
+	far   events // all that is a turn or more ahead of the slot at
+	at    int64  // the slot that near holds, counted from the beginning
+	ahead int    // how many are in the slots
+	seq   uint64
 }
 
+const (
+	slotTime = 4 * time.Millisecond
+	wheel    = 1024
+)
+
 type event struct {
 	at  time.Duration
 	seq uint64
@@ -16,39 +31,84 @@
 
 func (e *event) before(o *event) bool { return e.at < o.at || e.at == o.at && e.seq < o.seq }
 
-// fan is the heap's: wider than two, since events are pushed and popped about as often and the list is large.
-const fan = 4
+func (e *event) slot() int64 { return int64(e.at / slotTime) }
+
+func (q *queue) len() int { return len(q.near) + q.ahead + len(q.far) }
 
 func (q *queue) push(at time.Duration, do func()) {
 	q.seq++
-	q.list = append(q.list, event{at, q.seq, do})
-	for i := len(q.list) - 1; i > 0; {
+	q.place(event{at, q.seq, do})
+}
+
+func (q *queue) place(e event) {
+	switch s := e.slot(); {
+	case s <= q.at:
+		q.near.push(e)
+	case s-q.at < wheel:
+		q.slots[s%wheel] = append(q.slots[s%wheel], e)
+		q.ahead++
+	default:
+		q.far.push(e)
+	}
+}
+
+// pop takes the next event; there has to be one.
+func (q *queue) pop() event {
+	for len(q.near) == 0 {
+		if q.at++; q.ahead == 0 {
+			q.at = q.far[0].slot()
+		}
+		for len(q.far) > 0 && q.far[0].slot()-q.at < wheel {
+			q.place(q.far.pop())
+		}
+		slot := &q.slots[q.at%wheel]
+		q.ahead -= len(*slot)
+		for _, e := range *slot {
+			q.near.push(e)
+		}
+		clear(*slot)
+		*slot = (*slot)[:0]
+	}
+	return q.near.pop()
+}
+
+// events are a heap, wider than two: they are pushed and popped about as often.
+type events []event
+
+const fan = 4
+
+func (h *events) push(e event) {
+	list := append(*h, e)
+	*h = list
+	for i := len(list) - 1; i > 0; {
 		up := (i - 1) / fan
-		if !q.list[i].before(&q.list[up]) {
+		if !list[i].before(&list[up]) {
 			break
 		}
-		q.list[i], q.list[up] = q.list[up], q.list[i]
+		list[i], list[up] = list[up], list[i]
 		i = up
 	}
 }
 
-func (q *queue) pop() event {
-	first := q.list[0]
-	last := len(q.list) - 1
-	q.list[0] = q.list[last]
-	q.list[last] = event{}
-	q.list = q.list[:last]
+func (h *events) pop() event {
+	list := *h
+	first := list[0]
+	last := len(list) - 1
+	list[0] = list[last]
+	list[last] = event{}
+	list = list[:last]
+	*h = list
 	for i := 0; ; {
 		least := i
 		for c := fan*i + 1; c <= fan*i+fan && c < last; c++ {
-			if q.list[c].before(&q.list[least]) {
+			if list[c].before(&list[least]) {
 				least = c
 			}
 		}
 		if least == i {
 			return first
 		}
-		q.list[i], q.list[least] = q.list[least], q.list[i]
+		list[i], list[least] = list[least], list[i]
 		i = least
 	}
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -80,8 +80,8 @@
 	}
 	w.clients(stream(4))
 	w.at(cfg.Length, func() { w.through = true })
-	for len(w.queue.list) > 0 && !(w.through && w.open == 0) {
-		w.m.waiting = max(w.m.waiting, len(w.queue.list))
+	for w.queue.len() > 0 && !(w.through && w.open == 0) {
+		w.m.waiting = max(w.m.waiting, w.queue.len())
 		e := w.queue.pop()
 		w.now = e.at
 		w.m.events++
@@ -184,6 +184,7 @@
 			w.after(max(0, w.cfg.Network.ConnectTimeout-there-back), func() { w.fail(a, balancer.ConnectFailed) })
 		default:
 			a.conn = conn{life: n.life, opened: w.now}
+			i.conns[n.index].one = a.conn
 			i.turn(w.cfg.Host.Attempt/2, func() { w.write(a) })
 		}
 	})
@@ -263,7 +264,9 @@
 		return
 	}
 	a.gone = true
-	a.call.inst.drop(a.node)
+	if !w.cfg.Network.Multiplexed || !a.out {
+		a.call.inst.drop(a.node)
+	}
 	if !a.out {
 		r = balancer.Moot
 		if w.now-a.sent >= w.cfg.Network.ConnectTimeout {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,8 +23,27 @@
 
 // Config is what the file says; nil tables are off.
 type Config struct {
-	Ledger *Ledger `toml:"ledger"`
-	Admin  *Admin  `toml:"admin"`
+	Ledger  *Ledger  `toml:"ledger"`
+	Admin   *Admin   `toml:"admin"`
+	GraphQL *GraphQL `toml:"graphql"`
+
+	path  string
+	where map[string]unstable.Position
+}
+
+// At is where a key stands in the file, or its table: "FILE:LINE:COLUMN".
+func (c *Config) At(key string) string {
+	at := position(c.where, key)
+	return fmt.Sprintf("%s:%d:%d", c.path, at.Line, at.Column)
+}
+
+func position(where map[string]unstable.Position, key string) unstable.Position {
+	at, ok := where[key]
+	if !ok { // a key that is not there: its table is
+		table, _, _ := strings.Cut(key, ".")
+		at = where[table]
+	}
+	return at
 }
 
 // Ledger is the ledger of effects.
@@ -97,6 +116,7 @@
 		}
 		return nil, errors.New(strings.Join(lines, "\n"))
 	}
+	c.path = path
 	return c, nil
 }
 
@@ -118,12 +138,9 @@
 		return nil, errors.Join(all...)
 	}
 	where := places(text)
+	c.where = where
 	c.check(func(key, format string, args ...any) {
-		at, ok := where[key]
-		if !ok { // a key that is not there: its table is
-			table, _, _ := strings.Cut(key, ".")
-			at = where[table]
-		}
+		at := position(where, key)
 		all = append(all, strict.Fault{Line: at.Line, Column: at.Column, Text: key + ": " + fmt.Sprintf(format, args...)})
 	})
 	if len(all) > 0 {
@@ -167,6 +184,9 @@
 	if l := c.Ledger; l != nil {
 		l.check(fault)
 	}
+	if g := c.GraphQL; g != nil {
+		g.check(fault)
+	}
 	if a := c.Admin; a != nil {
 		at, err := netip.ParseAddrPort(a.Listen)
 		switch {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -38,45 +38,57 @@
 	return 0
 }
 
-// HTTP serves a node as the platform's protocol says: HTTP/1.1, the load report at /metrics/load.
-type HTTP struct {
-	node    *Node
-	effects map[string]Effect
-	srv     *http.Server
+// Resetting serves a handler until Stop, which resets all connections, as the death of a process does.
+type Resetting struct {
+	srv *http.Server
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
 
-// NewHTTP makes the server; effects are those of the classes.
-func NewHTTP(n *Node, effects map[string]Effect) *HTTP {
-	h := &HTTP{node: n, effects: effects, conns: map[net.Conn]bool{}}
-	h.srv = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnState: func(c net.Conn, s http.ConnState) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
+// NewResetting makes one.
+func NewResetting(h http.Handler) *Resetting {
+	r := &Resetting{conns: map[net.Conn]bool{}}
+	r.srv = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnState: func(c net.Conn, s http.ConnState) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		switch s {
 		case http.StateNew:
-			h.conns[c] = true
+			r.conns[c] = true
 		case http.StateClosed, http.StateHijacked:
-			delete(h.conns, c)
+			delete(r.conns, c)
 		}
 	}}
-	return h
+	return r
 }
 
 // Serve serves until Stop.
-func (h *HTTP) Serve(l net.Listener) error { return h.srv.Serve(l) }
+func (r *Resetting) Serve(l net.Listener) error { return r.srv.Serve(l) }
 
 // Stop resets all connections.
-func (h *HTTP) Stop() {
-	h.mu.Lock()
-	for c := range h.conns {
+func (r *Resetting) Stop() {
+	r.mu.Lock()
+	for c := range r.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			tcp.SetLinger(0)
 		}
 	}
-	h.mu.Unlock()
-	h.srv.Close()
+	r.mu.Unlock()
+	r.srv.Close()
+}
+
+// HTTP serves a node as the platform's protocol says: HTTP/1.1, the load report at /metrics/load.
+type HTTP struct {
+	*Resetting
+	node    *Node
+	effects map[string]Effect
+}
+
+// NewHTTP makes the server; effects are those of the classes.
+func NewHTTP(n *Node, effects map[string]Effect) *HTTP {
+	h := &HTTP{node: n, effects: effects}
+	h.Resetting = NewResetting(h)
+	return h
 }
 
 func (h *HTTP) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/replay.go
+++ b/internal/standin/replay.go
@@ -35,11 +35,15 @@
 	Service        float64       // worth answered in time, or late at a share, over the worth asked for
 	P50, P99, P999 time.Duration // of all requests, whatever their end
 
+	ServedP50, ServedP99 time.Duration // of those that were served
+
 	grace time.Duration
 	mu    sync.Mutex
 	worth float64
 	won   float64
 	took  *load.Histogram
+
+	served *load.Histogram
 }
 
 // maxOpen bounds the requests that a replay has open; those beyond are not sent, and count as unanswered.
@@ -48,7 +52,7 @@
 // Replay plays traffic at its own pace, whatever the answers do, and returns when all have come. An answer that comes
 // later than grace after its client's time is none. Worth counts by unit of work, as booking sites do.
 func Replay(ctx context.Context, t *Traffic, grace time.Duration, do Do) *Report {
-	r := &Report{grace: grace, took: load.NewHistogram()}
+	r := &Report{grace: grace, took: load.NewHistogram(), served: load.NewHistogram()}
 	classes := map[string]TrafficClass{}
 	for _, c := range t.Classes {
 		classes[c.Name] = c
@@ -87,6 +91,7 @@
 	switch kind {
 	case Served:
 		r.Served++
+		r.served.Add(took)
 		if took.Seconds()*1000 <= c.AimMS {
 			r.InTime++
 			r.won += worth
@@ -107,6 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Service = r.won / cmp.Or(r.worth, 1)
+	r.ServedP50, r.ServedP99 = r.served.At(0.5), r.served.At(0.99)
 	r.P50, r.P99, r.P999 = r.took.At(0.5), r.took.At(0.99), r.took.At(0.999)
 	return r
 }
--- a/internal/transport/http1/exchange.go
+++ b/internal/transport/http1/exchange.go
@@ -25,7 +25,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	build  func(left time.Duration) *http.Request
-	load   bool // the answer is a load report
+	check  func(*httpmsg.Answer) error // of an answer with status 200; nil: any is good
+	load   bool                        // the answer is a load report
 
 	mu      sync.Mutex
 	begun   bool // its first byte may be written
@@ -39,7 +40,9 @@
 		return nil
 	}
 	r := c.Payload.(*httpmsg.Request)
-	return p.exchange(u, timeout, func(left time.Duration) *http.Request { return onward(r, left) })
+	x := p.exchange(u, timeout, func(left time.Duration) *http.Request { return onward(r, left) })
+	x.check = r.Check
+	return x
 }
 
 // Probe prepares a probe, which asks for the load report.
@@ -151,6 +154,11 @@
 	}
 	a := &httpmsg.Answer{Status: resp.StatusCode, Header: httpmsg.Onward(resp.Header), Body: body}
 	o := engine.Outcome{Result: result(resp), Answer: a}
+	if o.Result == balancer.OK && x.check != nil {
+		if err := x.check(a); err != nil { // it has run, and what came is of no use
+			return engine.Outcome{Result: balancer.ServerError, Err: err}
+		}
+	}
 	o.Final = o.Result == balancer.OK || httpmsg.TurnedDown(a.Status)
 	if x.load {
 		o.Load = load(a)
--- a/rpc/hazelgrpc/compare_test.go
+++ b/rpc/hazelgrpc/compare_test.go
@@ -20,6 +20,8 @@
 	"hazelwing/balancer"
 	"hazelwing/internal/demo"
 	"hazelwing/internal/engine"
+	"hazelwing/internal/lab/rival"
+	"hazelwing/internal/lab/world"
 	"hazelwing/internal/membership/watch"
 	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/grpcnode"
@@ -59,16 +61,17 @@
 // contestant carries out requests against a fleet.
 type contestant struct {
 	name   string
+	lab    string // who plays it in the lab
 	server func(*standin.Node, map[string]standin.Effect) standin.Server
 	start  func(t *testing.T, f *standin.Fleet, traffic *standin.Traffic, seed int) (do standin.Do, closed func())
 }
 
 var contestants = []contestant{
-	{"daemon", nil, startDaemon},
-	{"plug-in", grpcnode.New, startPlugin},
-	{"round_robin", grpcnode.New, startPolicy(`{"loadBalancingConfig":[{"round_robin":{}}]}`)},
-	{"weighted_round_robin", grpcnode.New, startPolicy(`{"loadBalancingConfig":[{"weighted_round_robin":{"blackoutPeriod":"0.5s","weightExpirationPeriod":"5s","weightUpdatePeriod":"0.1s"}}]}`)},
-	{"pick_first", grpcnode.New, startPolicy(`{"loadBalancingConfig":[{"pick_first":{"shuffleAddressList":true}}]}`)},
+	{"daemon", rival.Own, nil, startDaemon},
+	{"plug-in", rival.Own, grpcnode.New, startPlugin},
+	{"round_robin", "round_robin", grpcnode.New, startPolicy(`{"loadBalancingConfig":[{"round_robin":{}}]}`)},
+	{"weighted_round_robin", "weighted", grpcnode.New, startPolicy(`{"loadBalancingConfig":[{"weighted_round_robin":{"blackoutPeriod":"0.5s","weightExpirationPeriod":"5s","weightUpdatePeriod":"0.1s"}}]}`)},
+	{"pick_first", "pick_first", grpcnode.New, startPolicy(`{"loadBalancingConfig":[{"pick_first":{"shuffleAddressList":true}}]}`)},
 }
 
 func startDaemon(t *testing.T, f *standin.Fleet, traffic *standin.Traffic, seed int) (standin.Do, func()) {
@@ -167,6 +170,7 @@
 	*standin.Report
 	wasted int
 	broken []string
+	lab    *world.Result // the same in the emulator
 }
 
 // play runs a contestant through a day.
@@ -190,7 +194,7 @@
 	stop()
 	played.Wait()
 	total, _ := f.Ledger.Executions("")
-	return result{report, total - report.Served, f.Ledger.Broken()}
+	return result{Report: report, wasted: total - report.Served, broken: f.Ledger.Broken()}
 }
 
 func TestCompare(t *testing.T) {
@@ -199,6 +203,7 @@
 	}
 	var table bytes.Buffer
 	fmt.Fprintln(&table, "| day | who | service (mean, min to max) | p50 ms | p99 ms | p99.9 ms | unserved | wasted | rules broken |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	var agree agreement
 	for _, day := range days {
 		all := make([][]result, len(contestants))
 		for seed := 1; seed <= *compareSeeds; seed++ {
@@ -210,6 +215,7 @@
 			}
 			wg.Wait()
 			for i, r := range results {
+				r.lab = emulated(t, contestants[i], traffic, day.script, seed)
 				all[i] = append(all[i], r)
 				if asked := len(traffic.Requests); r.Asked != asked {
 					t.Errorf("%s, %s: %d results for %d requests", day.name, contestants[i].name, r.Asked, asked)
@@ -221,9 +227,10 @@
 		}
 		for i, c := range contestants {
 			row(&table, day.name, c.name, all[i])
+			agree.add(day.name, c.name, all[i])
 		}
 	}
-	t.Log("\n" + table.String())
+	t.Log("\n" + table.String() + "\n" + agree.String())
 }
 
 func row(w io.Writer, day, who string, rs []result) {
--- a/rpc/hazelgrpc/rig_test.go
+++ b/rpc/hazelgrpc/rig_test.go
@@ -12,6 +12,8 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"hazelwing/balancer"
+	"hazelwing/internal/load"
+	"hazelwing/internal/load/grpcload"
 	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 	"hazelwing/internal/standin/grpcnode"
@@ -84,11 +86,12 @@
 
 // outgoing is the metadata of a recorded request.
 func outgoing(ctx context.Context, id string, c standin.TrafficClass, r standin.Request) context.Context {
-	md := metadata.Pairs(idKey, id, classKey, c.Name, hintKey, ftoa(r.HintUS), standin.ExtrasName, "work="+ftoa(r.WorkUS))
+	us := func(x float64) time.Duration { return time.Duration(x * float64(time.Microsecond)) }
+	m := load.Message{ID: id, Class: c.Name, Effect: c.Effect, Work: us(r.WorkUS), Hint: us(r.HintUS)}
 	if c.Effect == "keyed" {
-		md.Set(idempotencyKey, "k"+id)
+		m.Key = "k" + id
 	}
-	return metadata.NewOutgoingContext(ctx, md)
+	return metadata.NewOutgoingContext(ctx, grpcload.Metadata(m))
 }
 
 // kindOf says how a call ended for its client.
