--- a/internal/front/graphqlfront/execute.go
+++ b/internal/front/graphqlfront/execute.go
@@ -131,15 +131,18 @@
 	}
 	key := flightKey(p, j.header)
 	expires := j.partExpires(p)
-	o, shared := j.s.flights.do(j.request.Context(), key, expires, func() plan.Outcome {
+	x, shared := j.s.flights.join(key, expires, func() plan.Outcome {
 		alone := *j // whoever asked first may leave: the others wait for it
 		alone.request = j.request.WithContext(context.WithoutCancel(j.request.Context()))
 		return alone.part(p)
 	})
+	if x == nil {
+		return j.part(p)
+	}
 	if shared {
 		j.s.count.shared.Add(1)
 	}
-	return o
+	return x.wait(j.request.Context(), expires)
 }
 
 // partExpires is when a part's answer is of no more use.
--- a/internal/front/graphqlfront/share.go
+++ b/internal/front/graphqlfront/share.go
@@ -47,33 +47,37 @@
 	return string(sum.Sum(nil))
 }
 
-// do runs a part, or waits for one like it that is in flight, no longer than until expires or ctx ends.
-func (f *flights) do(ctx context.Context, key string, expires time.Time, run func() plan.Outcome) (o plan.Outcome, shared bool) {
+// join finds a flight to wait for, or begins one with run; nil: the one there is ends too soon.
+func (f *flights) join(key string, expires time.Time, run func() plan.Outcome) (x *flight, shared bool) {
 	f.mu.Lock()
-	x, shared := f.list[key]
-	if shared && x.expires.Before(expires.Add(-lateBy)) {
-		f.mu.Unlock()
-		return run(), false
-	}
-	if !shared {
-		x = &flight{expires: expires, done: make(chan struct{})}
-		f.list[key] = x
-		go func() {
-			x.outcome = run()
-			f.mu.Lock()
-			delete(f.list, key)
-			f.mu.Unlock()
-			close(x.done)
-		}()
+	defer f.mu.Unlock()
+	if x, shared = f.list[key]; shared {
+		if x.expires.Before(expires.Add(-lateBy)) {
+			return nil, false
+		}
+		return x, true
 	}
-	f.mu.Unlock()
+	x = &flight{expires: expires, done: make(chan struct{})}
+	f.list[key] = x
+	go func() {
+		x.outcome = run()
+		f.mu.Lock()
+		delete(f.list, key)
+		f.mu.Unlock()
+		close(x.done)
+	}()
+	return x, false
+}
+
+// wait waits for its outcome, no longer than until expires or ctx ends.
+func (x *flight) wait(ctx context.Context, expires time.Time) plan.Outcome {
 	timer := time.NewTimer(time.Until(expires.Add(-answerBefore)))
 	defer timer.Stop()
 	select {
 	case <-x.done:
-		return x.outcome, shared
+		return x.outcome
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return plan.Outcome{Ended: plan.MayRun, Why: "no node answered this in time"}, shared
+	return plan.Outcome{Ended: plan.MayRun, Why: "no node answered this in time"}
 }
--- a/internal/graphql/plan/document.go
+++ b/internal/graphql/plan/document.go
@@ -40,7 +40,7 @@
 	if e := s.limits.within(doc); e != nil {
 		return fail(e)
 	}
-	if list := validator.Validate(s.ast, doc); len(list) > 0 {
+	if list := validator.ValidateWithRules(s.ast, doc, s.rules); len(list) > 0 {
 		const mostErrors = 10
 		var errs []*Error
 		for _, e := range list[:min(len(list), mostErrors)] {
--- a/internal/graphql/plan/schema.go
+++ b/internal/graphql/plan/schema.go
@@ -11,6 +11,8 @@
 	"github.com/vektah/gqlparser/v2"
 	"github.com/vektah/gqlparser/v2/ast"
 	"github.com/vektah/gqlparser/v2/gqlerror"
+	"github.com/vektah/gqlparser/v2/validator"
+	"github.com/vektah/gqlparser/v2/validator/rules"
 
 	"hazelwing/balancer"
 )
@@ -48,6 +50,7 @@
 	classes       map[string]balancer.Class
 	limits        Limits
 	introspection bool
+	rules         *rules.Rules
 }
 
 // Config is what a Schema is made of.
@@ -79,7 +82,13 @@
 		}
 		return nil, fmt.Errorf("%s: %w", c.Name, err)
 	}
-	s := &Schema{ast: parsed, fields: map[string]Field{}, limits: c.Limits, introspection: c.Introspection}
+	s := &Schema{ast: parsed, fields: map[string]Field{}, limits: c.Limits, introspection: c.Introspection, rules: rules.NewDefaultRules()}
+	if !c.Introspection { // or errors would tell the schema: "Did you mean ..."
+		for _, r := range []validator.Rule{rules.FieldsOnCorrectTypeRuleWithoutSuggestions, rules.KnownArgumentNamesRuleWithoutSuggestions,
+			rules.KnownTypeNamesRuleWithoutSuggestions, rules.ScalarLeafsRuleWithoutSuggestions, rules.ValuesOfCorrectTypeRuleWithoutSuggestions} {
+			s.rules.ReplaceRule(strings.TrimSuffix(r.Name, "WithoutSuggestions"), r.RuleFunc)
+		}
+	}
 	if c.Classes != nil {
 		s.classes = map[string]balancer.Class{}
 		for _, k := range c.Classes {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -31,6 +31,7 @@
 	nodes map[string]*running
 	order []string
 	all   sync.WaitGroup
+	once  sync.Once
 	quit  chan struct{}
 }
 
@@ -229,8 +230,12 @@
 	return list
 }
 
-// Close ends all processes and the discovery, and waits for them.
+// Close ends all processes and the discovery, and waits for them. It may be called again.
 func (f *Fleet) Close() {
+	f.once.Do(f.close)
+}
+
+func (f *Fleet) close() {
 	close(f.quit)
 	f.mu.Lock()
 	for _, r := range f.nodes {
