hazelwing demo graphql, and goodput of parts beside requests sent whole

Eight seconds of mixed requests while a node crashes every second and one answer in fifty is spoilt; at the end each answer is held against the nodes' own counters.

--- a/cmd/hazelwing/demo.go
+++ b/cmd/hazelwing/demo.go
@@ -14,6 +14,9 @@
 	"hazelwing/internal/standin"
 )
 
+// demos are further demonstrations, which a build with the tag "small" leaves out.
+var demos []func() *cobra.Command
+
 func demoCommand() *cobra.Command {
 	var o demo.Options
 	var traffic, script string
@@ -50,6 +53,9 @@
 			return demo.Run(ctx, o, cmd.OutOrStdout())
 		},
 	}
+	for _, d := range demos {
+		c.AddCommand(d())
+	}
 	f := c.Flags()
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the traffic and of the daemon")
 	f.Float64Var(&o.Rate, "rate", 250, "requests a second, on average")
--- /dev/null
+++ b/cmd/hazelwing/demographql.go
@@ -0,0 +1,42 @@
+//go:build !small
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"hazelwing/internal/demo/gqldemo"
+)
+
+func init() {
+	demos = append(demos, func() *cobra.Command {
+		var o gqldemo.Options
+		c := &cobra.Command{
+			Use:   "graphql",
+			Short: "Show GraphQL at work on loopback, while nodes crash and spoil answers",
+			Long: `Play requests that mix queries and mutations through a daemon's GraphQL front against stand-in nodes, one of which crashes
+every second, while one answer in fifty is spoilt. It ends by itself with a summary, and with status 1 where a rule broke:
+one answer for each request in its client's time, no mutation twice, and no answer that the nodes' counters deny.`,
+			Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				if !(o.Rate > 0) || o.Rate > 2000 || o.Length <= 0 || o.Length > 10*time.Minute {
+					return fmt.Errorf("--rate is above 0 and up to 2000, --length up to 10m")
+				}
+				ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+				defer stop()
+				return gqldemo.Run(ctx, o, cmd.OutOrStdout())
+			},
+		}
+		f := c.Flags()
+		f.Uint64Var(&o.Seed, "seed", 1, "seed of the requests and the crashes")
+		f.Float64Var(&o.Rate, "rate", 150, "requests a second, on average")
+		f.DurationVar(&o.Length, "length", 8*time.Second, "how long they go on")
+		return c
+	})
+}
--- a/internal/daemon/graphql_test.go
+++ b/internal/daemon/graphql_test.go
@@ -13,9 +13,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"hazelwing/internal/load"
 	"hazelwing/internal/operator"
 	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
@@ -188,3 +190,84 @@
 		t.Errorf("the run showed too little: %v", says)
 	}
 }
+
+// Twelve nodes, one of them twenty times slower and one that dies at the start: the same requests, each a batch
+// of a seat search and a booking, in parts, and whole through the plain front as one unsafe class.
+//
+//	go test ./internal/daemon -run GraphQLGoodput -gql.figures -v
+func TestGraphQLGoodput(t *testing.T) {
+	if !*gqlFigures {
+		t.Skip("a measurement of a minute: -gql.figures")
+	}
+	const rate, length, aim, patience = 150.0, 20 * time.Second, 150 * time.Millisecond, 2 * time.Second
+	type figures struct {
+		query, mutation *load.Histogram
+		inTime          [2]atomic.Int64
+		asked           atomic.Int64
+	}
+	play := func(split bool) *figures {
+		var nodes []standin.NodeConfig
+		for i := range 12 {
+			nodes = append(nodes, standin.NodeConfig{Name: fmt.Sprint("n", i), Zone: string(rune('a' + i%3)), Kind: "m", Speed: 1, Seed: uint64(i + 1)})
+		}
+		g := newGQLRig(t, nodes, gqlnode.Mischief{})
+		g.fleet.Fault(standin.Fault{Verb: "slow", Node: "n1", Times: 20, For: time.Hour})
+		g.fleet.Node("n2").Die()
+		f := &figures{query: load.NewHistogram(), mutation: load.NewHistogram()}
+		plan, err := load.Poisson(1, []load.Point{{Rate: rate}}, length, load.Shot{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		load.Pace(t.Context(), func(n int) (time.Duration, bool) {
+			if n >= len(plan) {
+				return 0, false
+			}
+			return plan[n].At, true
+		}, 4096, func(n int, intended time.Time) {
+			f.asked.Add(1)
+			query := map[string]any{"query": `{seats(train:"x",work:15000){id} coach(id:"c",work:15000){number}}`}
+			mutation := map[string]any{"query": fmt.Sprintf(`mutation{m0:confirmBooking(seat:"s",token:"g%d",work:15000){id}}`, n)}
+			body, _ := json.Marshal([]any{query, mutation})
+			url, class := g.url, ""
+			if !split {
+				url, class = g.running.url+"/book/graphql", "book"
+			}
+			req, _ := http.NewRequest("POST", url, bytes.NewReader(body))
+			req.Header.Set("Content-Type", "application/json")
+			req.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+			if class != "" {
+				req.Header.Set("X-Class", class)
+				req.Header.Set("X-Request-Id", fmt.Sprint("whole", n))
+			}
+			resp, err := g.client.Do(req)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			var out []struct{ Data map[string]json.RawMessage }
+			if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || json.Unmarshal(text, &out) != nil || len(out) != 2 {
+				return
+			}
+			took := time.Since(intended)
+			for i, key := range []string{"coach", "m0"} {
+				if v := out[i].Data[key]; len(v) > 0 && string(v) != "null" {
+					[]*load.Histogram{f.query, f.mutation}[i].Add(took)
+					if took <= aim {
+						f.inTime[i].Add(1)
+					}
+				}
+			}
+		}, func(int, time.Time) {})
+		if broken := g.fleet.Ledger.Broken(); len(broken) > 0 {
+			t.Error(broken)
+		}
+		return f
+	}
+	for _, split := range []bool{true, false} {
+		f := play(split)
+		n := float64(f.asked.Load())
+		t.Logf("split %v: queries answered %.4f, within %v %.4f, p50 %v, p99 %v; mutations answered %.4f, within %v %.4f, p50 %v, p99 %v", split,
+			float64(f.query.Count())/n, aim, float64(f.inTime[0].Load())/n, f.query.At(0.5), f.query.At(0.99),
+			float64(f.mutation.Count())/n, aim, float64(f.inTime[1].Load())/n, f.mutation.At(0.5), f.mutation.At(0.99))
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -78,7 +78,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	view := newView(out, o.Live, fleet, traffic)
-	addr, ended, err := StartDaemon(ctx, traffic, fleet.Discovery.Addr(), o.Seed, view)
+	addr, ended, err := StartDaemon(ctx, traffic, new(operator.Config), fleet.Discovery.Addr(), o.Seed, slog.NewTextHandler(view, nil))
 	if err != nil {
 		return err
 	}
@@ -130,7 +130,7 @@
 
 // StartDaemon runs the daemon in this process until ctx ends, from a configuration as the platform writes it. It returns
 // once the daemon listens at addr; ended brings how it ended.
-func StartDaemon(ctx context.Context, t *standin.Traffic, discovery string, seed uint64, log io.Writer) (addr string, ended chan error, err error) {
+func StartDaemon(ctx context.Context, t *standin.Traffic, op *operator.Config, discovery string, seed uint64, log slog.Handler) (addr string, ended chan error, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port: the daemon listens by itself
 	if err != nil {
 		return "", nil, err
@@ -161,7 +161,7 @@
 	}
 	ended = make(chan error, 1)
 	go func() {
-		ended <- daemon.Run(ctx, cfg, new(operator.Config), nil, nil, slog.New(slog.NewTextHandler(log, nil)))
+		ended <- daemon.Run(ctx, cfg, op, nil, nil, slog.New(log))
 	}()
 	return addr, ended, ready(ctx, addr)
 }
--- /dev/null
+++ b/internal/demo/gqldemo/gqldemo_test.go
@@ -0,0 +1,18 @@
+package gqldemo
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/internal/standin/fixture"
+)
+
+// The demonstration keeps all rules, and says so.
+func TestRun(t *testing.T) {
+	var out strings.Builder
+	err := Run(t.Context(), Options{Seed: 1, Rate: 60, Length: 2500 * time.Millisecond, Grace: fixture.Patience}, &out)
+	if err != nil || !strings.Contains(out.String(), "all rules kept") {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+}
--- a/rpc/hazelgrpc/compare_test.go
+++ b/rpc/hazelgrpc/compare_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log/slog"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +24,7 @@
 	"hazelwing/internal/lab/rival"
 	"hazelwing/internal/lab/world"
 	"hazelwing/internal/membership/watch"
+	"hazelwing/internal/operator"
 	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/grpcnode"
 )
@@ -76,7 +78,7 @@
 
 func startDaemon(t *testing.T, f *standin.Fleet, traffic *standin.Traffic, seed int) (standin.Do, func()) {
 	ctx, stop := context.WithCancel(context.Background())
-	addr, ended, err := demo.StartDaemon(ctx, traffic, f.Discovery.Addr(), uint64(seed), io.Discard)
+	addr, ended, err := demo.StartDaemon(ctx, traffic, new(operator.Config), f.Discovery.Addr(), uint64(seed), slog.DiscardHandler)
 	if err != nil {
 		t.Fatal(err)
 	}
