--- a/cmd/hazelwing/store_test.go
+++ b/cmd/hazelwing/store_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -90,6 +91,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if grpcTarget == nil { // a build with the tag "small" has no GraphQL
+		text, _, _ = bytes.Cut(text, []byte("# GraphQL over HTTP"))
+	}
 	var on []string
 	for line := range strings.Lines(string(text)) {
 		if rest, ok := strings.CutPrefix(line, "# "); ok && (strings.HasPrefix(rest, "[") || strings.Contains(rest, " = ")) {
@@ -102,8 +106,15 @@
 		}
 		on = append(on, line)
 	}
-	path := filepath.Join(t.TempDir(), "on.toml")
-	if err := os.WriteFile(path, []byte(strings.Join(on, "")), 0o600); err != nil {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"booking.graphql": "type Query { seats(train: ID!): Int }\ninput I { token: String }\ntype Mutation { confirmBooking(input: I): Int }",
+		"documents.json": `{"home": "{ seats(train: 1) }"}`} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	path := filepath.Join(dir, "on.toml")
+	if err := os.WriteFile(path, []byte(strings.ReplaceAll(strings.Join(on, ""), "/etc/hazelwing", dir)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if out, err := execute("check", example, path); err != nil || strings.Count(out, ": good") != 2 {
--- a/internal/daemon/graphql_test.go
+++ b/internal/daemon/graphql_test.go
@@ -271,3 +271,35 @@
 			float64(f.mutation.Count())/n, aim, float64(f.inTime[1].Load())/n, f.mutation.At(0.5), f.mutation.At(0.99))
 	}
 }
+
+// What of the operator's file only the schema can tell is found before anything runs, with its place.
+func TestCheckGraphQL(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	schema := write("booking.graphql", gqlnode.SDL)
+	good := strings.NewReplacer("LISTEN", "127.0.0.1:0", "SCHEMA", schema).Replace(gqlnode.Operator)
+	for name, c := range map[string]struct{ old, new, want string }{
+		"good":            {"x", "x", ""},
+		"no class":        {"[graphql.field.\"Query.coach\"]\nclass = \"map\"\n", "", schema + ":56:3: Query.coach has no class"},
+		"no such field":   {"Query.coach", "Query.coatch", `op.toml:7:2: graphql.field."Query.coatch": the schema has no such root field`},
+		"no key":          {"key = \"token\"", "key = \"tokn\"", `graphql.field."Mutation.confirmBooking": key: the field has no argument "tokn"`},
+		"no schema":       {schema, schema + "x", "op.toml:3:1: graphql.schema: "},
+		"no trusted":      {"deadline", "trusted = \"/absent\"\ndeadline", "op.toml:4:1: graphql.trusted: "},
+		"trusted, no map": {"deadline", "trusted = \"" + schema + "\"\ndeadline", "op.toml:4:1: graphql.trusted: invalid character"},
+		"trusted, bad":    {"deadline", "trusted = \"" + write("t.json", `{"home":"{nothing}"}`) + "\"\ndeadline", "trusted document home: Cannot query field"},
+	} {
+		op, err := operator.Load(write("op.toml", strings.Replace(good, c.old, c.new, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Check(op); (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", name, err, c.want)
+		}
+	}
+}
--- a/internal/front/httpfront/admit.go
+++ b/internal/front/httpfront/admit.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hazelwing/internal/netpeek"
 )
 
 // Admitting clients' connections. Every connection is accepted; where there are more than may be held, the one that
@@ -139,6 +141,11 @@
 	c.gate.mu.Unlock()
 }
 
+// gone says that the client has closed its connection. Guards against work for nobody where this machine is behind: what
+// a client sent waits in the kernel, unread, for longer than the client does, and net/http notices the close only once it
+// is read.
+func (c *guest) gone() bool { return c != nil && netpeek.At(c.TCPConn) == netpeek.Gone }
+
 // answered says that the answer is out.
 func (c *guest) answered() {
 	c.gate.mu.Lock()
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -127,6 +127,8 @@
 	} else if c, refusal := s.read(w, r, came); c == nil {
 		// What follows on the connection may be the rest of what was turned down: it is never read as a request.
 		a, done = refusal, true
+	} else if guestOf(r).gone() {
+		a, done = refused(0), true // nothing was sent on, and one that has closed its sending half only may read it
 	} else {
 		guestOf(r).opened()
 		result := s.engine.Do(r.Context(), c)
--- a/internal/front/httpfront/server_test.go
+++ b/internal/front/httpfront/server_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"hazelwing/balancer"
 	"hazelwing/internal/engine"
 	"hazelwing/internal/httpmsg"
+	"hazelwing/internal/netpeek"
 	"hazelwing/internal/standin/fixture"
 )
 
@@ -177,6 +179,46 @@
 	}
 }
 
+// A client that closed before its request was read is refused, and nothing is done for it. Guards against work for nobody
+// where requests wait longer unread than their clients do.
+func TestGoneBeforeItWasRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	g := newGate(l, 10)
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := g.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	calls := 0
+	s := New(doer(func(ctx context.Context, c *engine.Call) engine.Result {
+		calls++
+		return serves(ctx, c)
+	}), testClasses)
+	ask := func() int {
+		r := fixture.Request(t, "http://x", "GET", "look", "1", "")
+		r.RequestURI, r.Body = r.URL.RequestURI(), http.NoBody
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r.WithContext(context.WithValue(t.Context(), guestKey{}, conn)))
+		return w.Code
+	}
+	if code := ask(); code != 200 || calls != 1 {
+		t.Errorf("there: %d, %d calls", code, calls)
+	}
+	client.Close()
+	fixture.Until(t, "the close", func() bool { return netpeek.At(conn.(*guest).TCPConn) == netpeek.Gone })
+	if code := ask(); code != 503 || calls != 1 {
+		t.Errorf("gone: %d, %d calls", code, calls)
+	}
+}
+
 func TestCallIsReadWhole(t *testing.T) {
 	r := startDeaf(t)
 	req := r.request(t, "POST", "pay", "77", "card")
--- a/internal/lab/experiment/claim.go
+++ b/internal/lab/experiment/claim.go
@@ -53,6 +53,7 @@
 	"crossing":   func(r *world.Result) float64 { return r.Crossing },
 	"conns":      func(r *world.Result) float64 { return float64(r.Conns) },
 	"probes":     func(r *world.Result) float64 { return r.Probes },
+	"host":       func(r *world.Result) float64 { return r.Host },
 	"imbalance":  func(r *world.Result) float64 { return r.Imbalance },
 	"breaks":     func(r *world.Result) float64 { return float64(r.Breaks) },
 	// recovered is the service of the run's last quarter: whether trouble that is over has left the fleet.
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -112,6 +112,7 @@
 // Host is described at Clients.
 type Host struct {
 	Cores                     float64
+	Period                    strict.Duration
 	Request, Attempt, Connect strict.Duration
 }
 
@@ -432,7 +433,7 @@
 	c.Network = world.Network{Same: d(n.Same), Cross: d(n.Cross), Jitter: d(n.Jitter), Loss: n.Loss, RetransmitTime: 200 * time.Millisecond,
 		ConnectTimeout: cmp.Or(d(n.ConnectTimeout), 250*time.Millisecond), Idle: cmp.Or(d(n.Idle), 15*time.Second), Multiplexed: n.Multiplexed}
 	c.List = world.List{Least: d(w.List.Least), Most: max(d(w.List.Least), d(w.List.Most)), Notice: d(w.List.Notice), Reorder: w.List.Reorder}
-	c.Host = world.Host{Cores: w.Host.Cores, Request: d(w.Host.Request), Attempt: d(w.Host.Attempt), Connect: d(w.Host.Connect)}
+	c.Host = world.Host{Cores: w.Host.Cores, Period: d(w.Host.Period), Request: d(w.Host.Request), Attempt: d(w.Host.Attempt), Connect: d(w.Host.Connect)}
 	r := &w.Rules
 	c.Rules = world.Rules{ColdFrom: r.ColdFrom, WarmUp: d(r.WarmUp), FallMultiple: r.FallMultiple, FallTime: d(r.FallTime), DrainGrace: d(r.DrainGrace)}
 	s := &w.Settings
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -77,6 +77,7 @@
 // request waits before it is read is not seen by its instance, as on sockets.
 type Host struct {
 	Cores   float64       // that it has; 0: its time is not counted
+	Period  time.Duration // above 0: it has a whole core until Cores of a period are used up, and none until the next; else a slower one
 	Request time.Duration // a whole core's time to read a request and answer it
 	Attempt time.Duration // to write an attempt and read its answer
 	Connect time.Duration // to open a connection
@@ -193,7 +194,7 @@
 	case len(c.Clients.Weights) > 0 && len(c.Clients.Weights) != c.Clients.Instances:
 		return fmt.Errorf("clients: %d weights for %d instances", len(c.Clients.Weights), c.Clients.Instances)
 	}
-	if h := c.Host; !(h.Cores >= 0) || h.Request < 0 || h.Attempt < 0 || h.Connect < 0 {
+	if h := c.Host; !(h.Cores >= 0) || h.Period < 0 || h.Request < 0 || h.Attempt < 0 || h.Connect < 0 {
 		return fmt.Errorf("host: its cores or costs are below 0")
 	}
 	if k := c.Clients; !(k.Session >= 0 && k.Session <= 1000) || k.Think < 0 || k.Skew < 0 || k.Skew >= past {
--- a/internal/lab/world/doc.go
+++ b/internal/lab/world/doc.go
@@ -13,10 +13,12 @@
 //     round trip.
 //   - The list reaches each instance by itself, late by a time between ListLeast and ListMost.
 //   - Clients are open loop: they come at a rate, whatever the answers do, each with patience, tries and a wait between.
-//   - A host that stands still handles nothing; what was for it waits.
+//   - A host that stands still handles nothing; what was for it waits. Its processor, where it has one, is a queue of its
+//     own: what waits there is not seen by the instance.
+//   - A connection may be half open: neither side hears the other, nor knows. With HTTP/2 an instance has one to a node.
 //
 // # What they leave out
 //
-// The cost of the balancer's own processor, queues in switches, the slow start of TCP, kernels' buffers, garbage
+// Queues in switches, the slow start of TCP, kernels' buffers, garbage
 // collections, and everything that is correlated in the real world and not said in the Config.
 package world
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -30,6 +30,8 @@
 	heard   time.Duration // when the last news on its way arrives
 	busy    time.Duration // its processor is, until then
 	used    time.Duration // of its processor, in all
+	period  int64         // the last in which it was used, and what was left of its quota
+	left    time.Duration
 }
 
 // connections are an instance's to one node.
@@ -79,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	i := &instance{w: w, index: index, zone: w.zone(zone), policy: p, set: s, calls: map[string]*call{},
+	i := &instance{w: w, period: -1, index: index, zone: w.zone(zone), policy: p, set: s, calls: map[string]*call{},
 		conns: make([]connections, len(w.nodes)), told: make([]time.Duration, len(w.nodes)), weight: 1}
 	if len(c.Weights) > 0 {
 		i.weight = c.Weights[index]
@@ -212,12 +214,35 @@
 		do()
 		return
 	}
-	cost = time.Duration(float64(cost) / h.Cores)
-	i.busy = max(i.w.now, i.busy) + cost
+	if h.Period > 0 {
+		i.spend(cost)
+	} else {
+		cost = time.Duration(float64(cost) / h.Cores)
+		i.busy = max(i.w.now, i.busy) + cost
+	}
 	i.used += cost
 	i.w.at(i.busy, do)
 }
 
+// spend takes a cost out of the quota of this period and, where that is used up, of the next ones.
+func (i *instance) spend(cost time.Duration) {
+	h := &i.w.cfg.Host
+	at := max(i.w.now, i.busy)
+	for {
+		if p := int64(at / h.Period); p != i.period {
+			i.period, i.left = p, time.Duration(h.Cores*float64(h.Period))
+		}
+		if cost <= i.left {
+			i.left -= cost
+			i.busy = at + cost
+			return
+		}
+		cost -= i.left
+		i.left = 0
+		at = time.Duration(i.period+1) * h.Period
+	}
+}
+
 // behind does what costs little after all that came before it.
 func (i *instance) behind(do func()) {
 	if i.busy <= i.w.now {
--- a/internal/lab/world/models_test.go
+++ b/internal/lab/world/models_test.go
@@ -257,3 +257,21 @@
 		}
 	}
 }
+
+// A quota by periods is a whole core until it is used up, and none until the next period begins.
+func TestHostWithQuota(t *testing.T) {
+	cfg := plain(1, 1000, 0, 1, Work{"fixed", ms, 0}, time.Second)
+	cfg.Host = Host{Cores: 0.28, Period: 100 * ms, Request: 10 * ms}
+	for _, at := range []time.Duration{10, 10, 10, 10, 250} {
+		cfg.Clients.Recorded = append(cfg.Clients.Recorded, Recorded{At: at * ms, Class: "c", Work: ms})
+	}
+	var read []time.Duration
+	r, err := Run(cfg, noting(1, nil, func(now time.Duration, e balancer.Event) {
+		if _, ok := e.(balancer.Request); ok {
+			read = append(read, now)
+		}
+	}), 1)
+	if want := []time.Duration{20 * ms, 30 * ms, 102 * ms, 112 * ms, 260 * ms}; err != nil || !slices.Equal(read, want) || r.Host <= 0 {
+		t.Errorf("read at %v, want %v; %v", read, want, err)
+	}
+}
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -118,7 +118,7 @@
 
 // The same seed gives the same bytes, another seed others; the real module keeps all rules through trouble of every kind.
 func TestSameSeedSameBytes(t *testing.T) {
-	for _, instances := range []int{1, 5, 60} {
+	for _, instances := range []int{1, 5, 60, 5000} {
 		run := func(seed uint64) string {
 			r, err := Run(Trouble(instances, 150), hazelwing, seed)
 			if err != nil {
--- /dev/null
+++ b/internal/netpeek/netpeek_test.go
@@ -0,0 +1,55 @@
+package netpeek
+
+import (
+	"net"
+	"testing"
+
+	"hazelwing/internal/standin/fixture"
+)
+
+// Each state is told, also while somebody waits to read, and nothing is taken.
+func TestAt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	there, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	here, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer here.Close()
+	read := make(chan byte, 1)
+	first := make(chan bool)
+	go func() {
+		var b [1]byte
+		<-first
+		here.Read(b[:])
+		read <- b[0]
+	}()
+	if At(here) != Silent {
+		t.Error("not silent")
+	}
+	there.Write([]byte("xy"))
+	fixture.Until(t, "what was written", func() bool { return At(here) == Spoke })
+	close(first)
+	if b := fixture.Receive(t, read, "a byte"); b != 'x' || At(here) != Spoke {
+		t.Errorf("%c was read", b)
+	}
+	var rest [1]byte
+	here.Read(rest[:])
+	go func() { here.Read(make([]byte, 1)) }() // waits
+	if At(here) != Silent {
+		t.Error("not silent while somebody waits")
+	}
+	there.Close()
+	fixture.Until(t, "the close", func() bool { return At(here) == Gone })
+	one, _ := net.Pipe()
+	if At(one) != Gone {
+		t.Error("what has no descriptor")
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,7 +21,12 @@
 	if *c.Ledger != want || c.Admin.Listen != "[::1]:9180" {
 		t.Errorf("%+v, %+v", c.Ledger, c.Admin)
 	}
-	if c, err := Parse(nil); err != nil || c.Ledger != nil || c.Admin != nil {
+	c, err = Parse([]byte("[graphql]\nlisten = \"127.0.0.1:1\"\nschema = \"/s\"\n[graphql.field.\"Query.x\"]\nclass = \"c\"\nwork = \"2ms\"\n"))
+	if err != nil || c.GraphQL.Path != "/graphql" || c.GraphQL.MaxDepth != 15 || c.GraphQL.Field["Query.x"] != (GraphQLField{Class: "c", Work: strict.Duration(2 * time.Millisecond)}) ||
+		c.At("graphql.field.Query.x") != ":4:2" {
+		t.Errorf("%+v, %s, %v", c.GraphQL, c.At("graphql.field.Query.x"), err)
+	}
+	if c, err := Parse(nil); err != nil || c.GraphQL != nil || c.Ledger != nil || c.Admin != nil {
 		t.Errorf("an empty file: %+v, %v", c, err)
 	}
 }
@@ -29,8 +34,21 @@
 // What cannot be used is named with its line, its column, and what could be.
 func TestFaults(t *testing.T) {
 	const ok = "[ledger]\ndir = \"/x\"\n"
+	const gql = "[graphql]\nlisten = \"127.0.0.1:1\"\nschema = \"/s\"\n"
 	for text, want := range map[string]string{
 		"[ledgr]\ndir = \"/x\"\n":                               "1:2: no such key: ledgr",
+		"[graphql]\nschema = \"/s\"\n":                          "1:2: graphql.listen: \"\" is no address",
+		"[graphql]\nlisten = \"[::1]:1\"\nschema = \"s\"":       "3:1: graphql.schema: \"s\" is no absolute path",
+		gql + "path = \"graphql\"":                              "4:1: graphql.path: \"graphql\" is no path",
+		gql + "node_path = \"/x?y\"":                            "4:1: graphql.node_path: ",
+		gql + "trusted = \"t\"":                                 "4:1: graphql.trusted: \"t\" is no absolute path",
+		gql + "only_trusted = true":                             "4:1: graphql.only_trusted: goes with trusted",
+		gql + "deadline = \"1ms\"":                              "4:1: graphql.deadline: 1ms is not from 10ms to 10m",
+		gql + "max_body = \"1GiB\"":                             "4:1: graphql.max_body: ",
+		gql + "max_document = \"1MiB\"":                         "4:1: graphql.max_document: ",
+		gql + "max_batch = 5000":                                "4:1: graphql.max_batch: 5000 is not from 1 to 1000",
+		gql + "max_depth = -1":                                  "4:1: graphql.max_depth: -1 is not",
+		gql + "[graphql.field.\"Query.x\"]\nclas = \"c\"":       "5:1: no such key: graphql.field.Query.x.clas",
 		ok + "durably = 1\nother = 2\n":                         "3:1: no such key: ledger.durably",
 		ok + "durable = \"sometimes\"":                          "3:1: ledger.durable: \"sometimes\" is not \"always\", \"batch\" or \"off\"",
 		ok + "durable = 5":                                      "3:11: ",
--- a/internal/transport/http1/http1_test.go
+++ b/internal/transport/http1/http1_test.go
@@ -464,3 +464,31 @@
 		t.Errorf("told %+v", got)
 	}
 }
+
+// A whole answer that is none to its request is an error of the node's, which has run it; others are not asked about.
+func TestAnswerThatIsNone(t *testing.T) {
+	for _, c := range []struct {
+		status string
+		err    error
+		want   balancer.Result
+	}{{"200 OK", errors.New("half"), balancer.ServerError}, {"200 OK", nil, balancer.OK}, {"503 Full\r\nX-Not-Run: 1", errors.New("half"), balancer.Overloaded}} {
+		addr := fixture.Raw(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			if fixture.ReadRequest(r) != nil {
+				io.WriteString(conn, "HTTP/1.1 "+c.status+"\r\nContent-Length: 2\r\n\r\nok")
+			}
+		})
+		p := testPool()
+		p.Update(true, active(addr), time.Now())
+		call := &engine.Call{Payload: &httpmsg.Request{Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Check: func(a *httpmsg.Answer) error {
+			if string(a.Body) != "ok" {
+				t.Errorf("asked about %q", a.Body)
+			}
+			return c.err
+		}}}
+		o := p.Attempt("s", call, fixture.Patience).Run(nil)
+		wantResult(t, o, c.want)
+		if o.Final != (c.want == balancer.OK) || c.want == balancer.ServerError && (o.Answer != nil || !o.Result.MayHaveRun()) {
+			t.Errorf("%s, %v: %+v", c.status, c.err, o)
+		}
+	}
+}
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -10,11 +10,11 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"hazelwing/balancer"
 	"hazelwing/internal/engine"
+	"hazelwing/internal/netpeek"
 )
 
 // Exchanges with upstreams, and the connections for them. net/http's Transport would send a request again by itself
@@ -66,21 +66,7 @@
 // silent says that an idle connection is still open and the upstream has said nothing on it. Guards against
 // connections that the upstream closed, or that its death reset: a request written there would count as reset.
 func (c *conn) silent() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return c.r.Buffered() == 0 && netpeek.At(c.Conn) == netpeek.Silent
 }
 
 // Pool is the transport: it holds the idle connections to all upstreams.
