--- a/internal/front/graphqlfront/front_test.go
+++ b/internal/front/graphqlfront/front_test.go
@@ -308,6 +308,8 @@
 		{s, persisted(text, strings.ToUpper(hash)), `{"data":{"a":1}}`},
 		{s, persisted("", hash), `{"data":{"a":1}}`},
 		{s, `{"documentId":"x"}`, "PERSISTED_QUERY_NOT_FOUND"},
+		{s, `{"documentId":"sha256:"}`, "BAD_REQUEST"},
+		{s, persisted("", ""), "BAD_REQUEST"}, // found by fuzzing: nil was read
 		{s, strings.Replace(persisted("", hash), `"version":1`, `"version":2`, 1), "BAD_REQUEST"},
 		{only, `{"query":"{a}"}`, `{"data":{"a":1}}`},
 		{only, `{"documentId":"home"}`, `{"data":{"b":1}}`},
--- a/internal/front/graphqlfront/request.go
+++ b/internal/front/graphqlfront/request.go
@@ -250,6 +250,9 @@
 		}
 		id = strings.ToLower(x.Hash)
 	}
+	if id == "" && p.Query == nil {
+		return fail(badRequest, "a document is asked for without its id or hash")
+	}
 	if id != "" {
 		if d, ok := s.trusted[id]; ok && (p.Query == nil || hashOf(*p.Query) == id) {
 			return d, nil
