Two guards of GraphQL's that no test noticed: keys in a batch, plans by their variables

Taking out 20 guards in turn, two went unnoticed: the number that tells apart the mutations of a batch with one Idempotency-Key, and that a document whose root fields depend on variables is planned anew. Each has a test now.

--- a/internal/front/graphqlfront/front_test.go
+++ b/internal/front/graphqlfront/front_test.go
@@ -137,6 +137,7 @@
 		{[]string{"Content-Type: application/json; charset=UTF-8", q}, 200, `{"a":1`},
 		{[]string{`[{"query":"{a}"},{"query":"{c}"},{"query":"mutation{n}"}]`}, 200, `= [{"data":{"a":1}},{"errors":[{"message":"Cannot query field \"c\" on type \"Query\".","locations":[{"line":1,"column":2}],"extensions":{"code":"GRAPHQL_VALIDATION_FAILED"}}]},{"data":{"n":1}}]`},
 		{[]string{`{"query":"{a}","extensions":{"other":1},"more":2}`}, 200, `"a":1`},
+		{[]string{"Idempotency-Key: k", `[{"query":"mutation{n}"},{"query":"mutation{n}"}]`}, 200, `= [{"data":{"n":1}},{"data":{"n":1}}]`},
 
 		{[]string{"GET", query("mutation{n}")}, 405, "METHOD_NOT_ALLOWED"},
 		{[]string{"GET", query("query X{a} mutation Y{n}") + "&operationName=Y"}, 405, "METHOD_NOT_ALLOWED"},
--- a/internal/graphql/plan/plan_test.go
+++ b/internal/graphql/plan/plan_test.go
@@ -207,3 +207,18 @@
 		}
 	}
 }
+
+// A document that is planned again is planned by its own variables, not by those of the request before.
+func TestPlannedAgain(t *testing.T) {
+	d, errs := schema(t, nil).Document(`query ($b: Boolean!, $t: ID!) { seats(train: $t) { id } coach(id: "1") @include(if: $b) { id } }`)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	for i, want := range []int{2, 1, 2} {
+		train := fmt.Sprintf("%q", fmt.Sprint("T", i))
+		p, err := d.Plan("", map[string]json.RawMessage{"b": json.RawMessage(fmt.Sprint(want == 2)), "t": json.RawMessage(train)}, "")
+		if err != nil || len(p.Parts) != want || !strings.Contains(string(p.Parts[0].Body), `"variables":{"t":`+train) {
+			t.Errorf("%d: %d parts, want %d; %v", i, len(p.Parts), want, err)
+		}
+	}
+}
