One reader of recorded traffic; experiments on recordings tested

The command line and the lab each opened and read recordings; standin.LoadTraffic does now. A test plays an experiment on a recording: its requests, its text in the hash, and what cannot be read is named.

--- a/cmd/hazelwing/demo.go
+++ b/cmd/hazelwing/demo.go
@@ -33,7 +33,7 @@
 				return fmt.Errorf("--rate is 1 to 5000, --length up to 10m, --nodes 1 to 200")
 			}
 			if traffic != "" {
-				if o.Traffic, err = readTraffic(traffic); err != nil {
+				if o.Traffic, err = standin.LoadTraffic(traffic); err != nil {
 					return err
 				}
 			}
--- a/cmd/hazelwing/load.go
+++ b/cmd/hazelwing/load.go
@@ -18,6 +18,7 @@
 	"golang.org/x/term"
 
 	"hazelwing/internal/load"
+	"hazelwing/internal/standin"
 )
 
 func loadCommand() *cobra.Command {
@@ -102,7 +103,7 @@
 // planOf makes the plan that the flags say.
 func planOf(seed uint64, rate float64, ramp string, length time.Duration, traffic string, shot load.Shot) (load.Plan, error) {
 	if traffic != "" {
-		t, err := readTraffic(traffic)
+		t, err := standin.LoadTraffic(traffic)
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/hazelwing/traffic.go
+++ b/cmd/hazelwing/traffic.go
@@ -26,7 +26,7 @@
 	c.Flags().DurationVar(&length, "length", 12*time.Second, "how long it goes on")
 	c.RunE = func(cmd *cobra.Command, args []string) error {
 		if *check {
-			t, err := readTraffic(args[0])
+			t, err := standin.LoadTraffic(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "%d requests of %d classes in %v\n", len(t.Requests), len(t.Classes), t.Length())
 			}
@@ -43,16 +43,3 @@
 	}
 	return c
 }
-
-func readTraffic(path string) (*standin.Traffic, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	t, err := standin.ReadTraffic(f)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return t, nil
-}
--- a/internal/lab/experiment/recorded.go
+++ b/internal/lab/experiment/recorded.go
@@ -1,8 +1,6 @@
 package experiment
 
 import (
-	"fmt"
-	"os"
 	"time"
 
 	"hazelwing/internal/lab/world"
@@ -20,15 +18,10 @@
 
 // recorded reads traffic for the world.
 func recorded(path string) ([]world.Recorded, error) {
-	f, err := os.Open(path)
+	t, err := standin.LoadTraffic(path)
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
-	t, err := standin.ReadTraffic(f)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
 	return Recorded(t), nil
 }
 
--- /dev/null
+++ b/internal/lab/experiment/recorded_test.go
@@ -0,0 +1,67 @@
+package experiment
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+)
+
+// Recorded traffic beside the file is played in place of chance, its text is part of what the run is told by, and what
+// cannot be read is named.
+func TestRecordedTraffic(t *testing.T) {
+	dir := t.TempDir()
+	text := strings.Replace(fixture.Experiment("?", "hazelwing", "random", 1), "load = 0.6\n", "", 1)
+	for _, c := range standin.BookingClasses {
+		text += "[world.class." + c.Name + "]\nshare = 1.0\nwork = \"1ms\"\naim = \"1s\"\ndeadline = \"1s\"\n"
+	}
+	text += "[world.clients]\ntraffic = \"day.jsonl\"\nskew = \"2s\"\nsession = 3.0\nthink = \"1s\"\n[world.host]\ncores = 0.5\nperiod = \"100ms\"\nrequest = \"1ms\"\n" +
+		"[world.network]\nmultiplexed = true\n[world.list]\nnotice = \"1s\"\nreorder = true\n"
+	path := filepath.Join(dir, "x.toml")
+	record := func(seed uint64) int {
+		day := standin.Generate(seed, 50, 2*time.Second)
+		var b bytes.Buffer
+		if err := day.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		for name, text := range map[string]string{path: text, filepath.Join(dir, "day.jsonl"): b.String()} {
+			if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return len(day.Requests)
+	}
+	n := record(1)
+	e, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := e.Points[0].World
+	if w.Clients.Skew != 2*time.Second || w.Clients.Session != 3 || w.Host.Period != 100*time.Millisecond || !w.Network.Multiplexed || w.List.Notice != time.Second || !w.List.Reorder {
+		t.Errorf("%+v", w)
+	}
+	runs, err := e.Play(t.Context(), filepath.Join(dir, "run"), 1, func(int, int) {})
+	if err != nil || runs[0].Result.Asked != n || runs[0].Result.Host <= 0 {
+		t.Errorf("%v, %+v, want %d", err, runs, n)
+	}
+	record(2)
+	if again, err := Load(path); err != nil || again.Hash == e.Hash {
+		t.Errorf("another recording, the same hash: %v", err)
+	}
+	for _, spoil := range []func() error{
+		func() error { return os.WriteFile(filepath.Join(dir, "day.jsonl"), []byte("{}"), 0o600) },
+		func() error { return os.Remove(filepath.Join(dir, "day.jsonl")) },
+	} {
+		if err := spoil(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "day.jsonl") {
+			t.Errorf("%v", err)
+		}
+	}
+}
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"os"
 	"time"
 )
 
@@ -88,6 +89,20 @@
 	return errors.Join(err, out.Flush())
 }
 
+// LoadTraffic reads a recording's file, or says which file and line cannot be used.
+func LoadTraffic(path string) (*Traffic, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	t, err := ReadTraffic(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return t, nil
+}
+
 // ReadTraffic reads a recording, or says which line of it cannot be used.
 func ReadTraffic(r io.Reader) (*Traffic, error) {
 	t := &Traffic{}
