Membership: one list out of several sources, leaving wins, without I/O

It is not before the engine yet.

The model test found that the only node's restart left the list empty until additions were handed out again: a process and the one that replaces it change in one step.

--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,437 @@
+// Package membership makes one list of members out of what several sources say, without I/O and without clocks: it is told
+// what a source says and when, and answers with what changes. docs/design/membership.md has the rules as a table.
+//
+// In short: leaving wins. A node that a source has said to drain or to be gone is out until that source takes it back, or
+// any source tells of a newer start of it; a late copy of an old list never brings it back. A source that has failed keeps
+// its last view for a while, and then only loses the right to add. What a source merely no longer lists may be held, so
+// that one source alone neither empties the list nor takes out more than a share of it within a while. Leavings are
+// handed out at once, additions at most once in Settle.
+//
+// # Bounds
+//
+// A view holds at most Config.Most entries, what is beyond is left out and counted; graves are kept for Config.Forget after
+// nobody lists their node any more, Most of them for each source. A Merge is not safe for several goroutines.
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// Entry is a node as a source knows it.
+type Entry struct {
+	ID       string // empty: the source knows addresses only
+	Addr     string
+	Zone     string
+	Kind     string
+	Cell     int
+	State    balancer.State
+	BornMS   float64 // when its process started, Unix milliseconds; 0: not known, or long ago
+	Priority int     // failover level, lower first
+	Share    float64 // of the traffic of its level; 0: not told
+}
+
+// Source is one that speaks.
+type Source struct {
+	Name string
+	Rank int // whose word on zone, kind and level is taken: the lowest that lists a node
+	// Absent says what it means that a whole view lacks a node that the one before had: true, it is gone; false, the
+	// source only says nothing of it any more (a DNS answer may be a part).
+	Absent bool
+	// Keep is how long its last view may add nodes after it has failed.
+	Keep time.Duration
+}
+
+// Config is a Merge's.
+type Config struct {
+	Sources []Source
+	Most    int           // entries of a view
+	Settle  time.Duration // additions are handed out at most once in it
+	Forget  time.Duration // a leaving is remembered for it after nobody lists the node any more
+	// Share of the list that what one source no longer lists may take out within Window; of what is left, one always stays.
+	Share  float64
+	Window time.Duration
+}
+
+// View is what a source says.
+type View struct {
+	Source  string
+	Seq     int64 // later ones are higher; one that is not higher than the last is an old copy
+	Whole   bool  // else changes to the one before
+	Entries []Entry
+}
+
+// Change is one of the list.
+type Change struct {
+	Member Entry // ID is never empty
+	Why    string
+}
+
+// Listed is an entry of the list, or one that is kept out of it.
+type Listed struct {
+	Entry
+	In      bool
+	Why     string
+	Sources []string // that list it, by rank
+	Since   time.Duration
+}
+
+// Merge is the list.
+type Merge struct {
+	cfg     Config
+	sources map[string]*source
+	order   []*source // by rank
+	out     map[string]*node
+	settled time.Duration // when additions were handed out last
+	begun   bool
+	dropped int
+}
+
+type source struct {
+	Source
+	seq    int64
+	spoke  bool
+	failed time.Duration // since; -1: it has not
+	view   map[string]Entry
+	graves map[string]grave
+	taken  []time.Duration // when absences of its own took nodes out
+}
+
+// grave is a source's word that a node has left.
+type grave struct {
+	Entry
+	at       time.Duration
+	explicit bool          // said, not merely no longer listed
+	listed   time.Duration // when anybody last listed it
+}
+
+type node struct {
+	Entry
+	why   string
+	since time.Duration
+}
+
+// New makes a Merge, or says what cannot be.
+func New(c Config) (*Merge, error) {
+	m := &Merge{cfg: c, sources: map[string]*source{}, out: map[string]*node{}}
+	if len(c.Sources) == 0 || c.Most < 1 || c.Settle < 0 || c.Forget <= 0 || !(c.Share > 0 && c.Share <= 1) || c.Window <= 0 {
+		return nil, fmt.Errorf("membership: sources, most, forget, window and a share above 0 and up to 1 are wanted")
+	}
+	for _, s := range c.Sources {
+		if s.Name == "" || m.sources[s.Name] != nil || s.Keep < 0 {
+			return nil, fmt.Errorf("membership: source %q: a name of its own, and keep not below 0", s.Name)
+		}
+		x := &source{Source: s, failed: -1, view: map[string]Entry{}, graves: map[string]grave{}}
+		m.sources[s.Name] = x
+		m.order = append(m.order, x)
+	}
+	slices.SortStableFunc(m.order, func(a, b *source) int { return cmp.Compare(a.Rank, b.Rank) })
+	return m, nil
+}
+
+// key tells a source's nodes apart.
+func (e *Entry) key() string {
+	if e.ID != "" {
+		return e.ID
+	}
+	return "addr " + e.Addr
+}
+
+// Tell takes a view. It answers with what changes now, and when Tick is to be called; 0: not before the next event.
+func (m *Merge) Tell(now time.Duration, v View) ([]Change, time.Duration) {
+	s := m.sources[v.Source]
+	if s == nil || s.spoke && v.Seq <= s.seq {
+		return m.settle(now)
+	}
+	s.seq, s.spoke, s.failed = v.Seq, true, -1
+	entries := v.Entries
+	if len(entries) > m.cfg.Most {
+		m.dropped += len(entries) - m.cfg.Most
+		entries = entries[:m.cfg.Most]
+	}
+	there := map[string]bool{}
+	for _, e := range entries {
+		k := e.key()
+		there[k] = true
+		if e.State != balancer.Active {
+			s.bury(now, k, e, true)
+			continue
+		}
+		if g, ok := s.graves[k]; ok && (e.BornMS == 0 || e.BornMS >= g.BornMS) {
+			delete(s.graves, k) // it takes its own word back
+		}
+		if len(s.view) < m.cfg.Most || s.view[k].Addr != "" {
+			s.view[k] = e
+		}
+	}
+	if v.Whole {
+		for _, k := range slices.Sorted(maps.Keys(s.view)) {
+			switch {
+			case there[k]:
+			case s.Absent:
+				s.bury(now, k, s.view[k], false)
+			default:
+				delete(s.view, k)
+			}
+		}
+	}
+	return m.settle(now)
+}
+
+// bury notes that a source says that a node has left.
+func (s *source) bury(now time.Duration, k string, e Entry, explicit bool) {
+	if old, ok := s.view[k]; ok {
+		e.Addr = cmp.Or(e.Addr, old.Addr)
+		e.BornMS = max(e.BornMS, old.BornMS)
+	}
+	if e.State == balancer.Active {
+		e.State = balancer.Left
+	}
+	if g, ok := s.graves[k]; ok && g.explicit && !explicit {
+		return
+	}
+	s.graves[k] = grave{Entry: e, at: now, explicit: explicit, listed: now}
+	delete(s.view, k)
+}
+
+// Lost takes in that a source has failed.
+func (m *Merge) Lost(now time.Duration, name string) ([]Change, time.Duration) {
+	if s := m.sources[name]; s != nil && s.failed < 0 {
+		s.failed = now
+	}
+	return m.settle(now)
+}
+
+// Tick is called at the time that the last event asked for.
+func (m *Merge) Tick(now time.Duration) ([]Change, time.Duration) { return m.settle(now) }
+
+// mayAdd says whether a source's view still brings in nodes that are not in the list.
+func (s *source) mayAdd(now time.Duration) bool { return s.failed < 0 || now-s.failed < s.Keep }
+
+// covers says whether a grave holds an entry down: the same node, or its address, and no newer start.
+func (g *grave) covers(e *Entry) bool {
+	if e.BornMS > g.BornMS && e.BornMS > 0 {
+		return false
+	}
+	return e.ID != "" && e.ID == g.ID || e.Addr != "" && e.Addr == g.Addr
+}
+
+// wanted is what should be in the list, by id, and why each of the rest is not.
+func (m *Merge) wanted(now time.Duration) (in map[string]Entry, sources map[string][]string, why map[string]string) {
+	in, sources, why = map[string]Entry{}, map[string][]string{}, map[string]string{}
+	named := map[string]string{} // who has a name, by address
+	for _, s := range m.order {
+		for _, k := range slices.Sorted(maps.Keys(s.view)) {
+			if e := s.view[k]; e.ID != "" && named[e.Addr] == "" {
+				named[e.Addr] = e.ID
+			}
+		}
+	}
+	for _, s := range m.order {
+		for _, k := range slices.Sorted(maps.Keys(s.view)) {
+			e := s.view[k]
+			if e.ID == "" { // who knows only the address speaks of whoever has it
+				e.ID = cmp.Or(named[e.Addr], "addr "+e.Addr)
+			}
+			if text := m.held(now, &e); text != "" {
+				why[e.ID] = text
+				continue
+			}
+			if m.out[e.ID] == nil && !s.mayAdd(now) {
+				if _, ok := in[e.ID]; !ok {
+					why[e.ID] = s.Name + " has failed, and may not add"
+				}
+				continue
+			}
+			sources[e.ID] = append(sources[e.ID], s.Name)
+			if old, ok := in[e.ID]; !ok {
+				in[e.ID] = e
+			} else if e.BornMS > old.BornMS { // a newer start is a newer process, whoever tells of it
+				old.BornMS, old.Addr = e.BornMS, e.Addr
+				in[e.ID] = old
+			}
+		}
+	}
+	for id := range in {
+		delete(why, id)
+	}
+	return in, sources, why
+}
+
+// held says which source keeps an entry out, and notes that it is listed still.
+func (m *Merge) held(now time.Duration, e *Entry) string {
+	text := ""
+	for _, s := range m.order {
+		for k, g := range s.graves {
+			if g.covers(e) {
+				g.listed = now
+				s.graves[k] = g
+				verb := "no longer lists it"
+				if g.explicit {
+					verb = "says that it has left"
+				}
+				text = s.Name + " " + verb
+			}
+		}
+	}
+	return text
+}
+
+// settle brings the list to what it should be.
+func (m *Merge) settle(now time.Duration) (changes []Change, wake time.Duration) {
+	in, _, why := m.wanted(now)
+	ask := func(at time.Duration) {
+		if at > now && (wake == 0 || at < wake) {
+			wake = at
+		}
+	}
+	replaced := map[string]bool{} // by a newer process, which does not wait: the old one's place would be empty
+	for _, id := range slices.Sorted(maps.Keys(m.out)) { // leavings first, and at once
+		n := m.out[id]
+		e, still := in[id]
+		if still && e.BornMS > n.BornMS {
+			still = false // another process: the old one leaves
+			why[id] = "a newer start is told"
+			replaced[id] = true
+		}
+		if still {
+			n.why = "listed"
+			if changed := e; changed != n.Entry {
+				n.Entry = changed
+				changes = append(changes, Change{changed, "it is described anew"})
+			}
+			continue
+		}
+		text := why[id]
+		if hold, at := m.panics(now, id, text); hold != "" {
+			n.why = hold
+			ask(at)
+			continue
+		}
+		gone := n.Entry
+		gone.State = m.stateOf(&n.Entry)
+		changes = append(changes, Change{gone, cmp.Or(text, m.held(now, &n.Entry), "no source lists it any more")})
+		delete(m.out, id)
+	}
+	var added []string
+	for _, id := range slices.Sorted(maps.Keys(in)) {
+		if m.out[id] == nil {
+			added = append(added, id)
+		}
+	}
+	early := m.begun && now-m.settled < m.cfg.Settle
+	if early {
+		all := len(added)
+		if added = slices.DeleteFunc(added, func(id string) bool { return !replaced[id] }); len(added) < all {
+			ask(m.settled + m.cfg.Settle)
+		}
+	}
+	for _, id := range added {
+		m.out[id] = &node{Entry: in[id], why: "listed", since: now}
+		changes = append(changes, Change{in[id], "listed"})
+	}
+	if len(added) > 0 && !early {
+		m.settled, m.begun = now, true
+	}
+	m.forget(now)
+	for _, s := range m.order {
+		if s.failed >= 0 && len(s.view) > 0 {
+			ask(s.failed + s.Keep)
+		}
+	}
+	return changes, wake
+}
+
+// stateOf is what a node that leaves is told as: draining where a source says that it drains and none that it is gone.
+func (m *Merge) stateOf(e *Entry) balancer.State {
+	state := balancer.Left
+	for _, s := range m.order {
+		for _, g := range s.graves {
+			if g.covers(e) {
+				if g.State == balancer.Left {
+					return balancer.Left
+				}
+				state = g.State
+			}
+		}
+	}
+	return state
+}
+
+// panics holds what would leave only since one source no longer lists it, where that source has taken out its share of
+// the list within the window, or would empty it. What was said to leave is never held.
+func (m *Merge) panics(now time.Duration, id, why string) (hold string, again time.Duration) {
+	n := m.out[id]
+	var by *source
+	for _, s := range m.order {
+		for _, g := range s.graves {
+			if g.covers(&n.Entry) {
+				if g.explicit {
+					return "", 0
+				}
+				by = s
+			}
+		}
+	}
+	if why == "a newer start is told" {
+		return "", 0
+	}
+	if len(m.out) == 1 {
+		return "held: it is the last one", 0
+	}
+	if by == nil { // it only fell silent: that of one source is not held back, that of all is
+		return "", 0
+	}
+	by.taken = slices.DeleteFunc(by.taken, func(at time.Duration) bool { return now-at >= m.cfg.Window })
+	if float64(len(by.taken)+1) > m.cfg.Share*float64(len(m.out)+len(by.taken)) {
+		if len(by.taken) == 0 {
+			return "held: " + by.Name + " may not take out so large a share", 0
+		}
+		return "held: " + by.Name + " has taken out its share", by.taken[0] + m.cfg.Window
+	}
+	by.taken = append(by.taken, now)
+	return "", 0
+}
+
+// forget drops graves that nobody lists any more, and the oldest where there are too many.
+func (m *Merge) forget(now time.Duration) {
+	for _, s := range m.order {
+		for k, g := range s.graves {
+			if now-g.listed >= m.cfg.Forget {
+				delete(s.graves, k)
+			}
+		}
+		for len(s.graves) > m.cfg.Most {
+			oldest := ""
+			for _, k := range slices.Sorted(maps.Keys(s.graves)) {
+				if oldest == "" || s.graves[k].listed < s.graves[oldest].listed {
+					oldest = k
+				}
+			}
+			delete(s.graves, oldest)
+		}
+	}
+}
+
+// List is every node that a source lists or the list holds, by id: in the list or not, why, and since when.
+func (m *Merge) List(now time.Duration) (list []Listed) {
+	in, sources, why := m.wanted(now)
+	for _, id := range slices.Sorted(maps.Keys(m.out)) {
+		n := m.out[id]
+		list = append(list, Listed{Entry: n.Entry, In: true, Why: n.why, Sources: sources[id], Since: n.since})
+	}
+	for _, id := range slices.Sorted(maps.Keys(why)) {
+		if _, ok := in[id]; !ok && m.out[id] == nil {
+			list = append(list, Listed{Entry: Entry{ID: id}, Why: why[id], Sources: sources[id]})
+		}
+	}
+	return list
+}
+
+// Dropped is how many entries of views were left out, since there were too many.
+func (m *Merge) Dropped() int { return m.dropped }
