--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -290,7 +290,7 @@
 			wake = at
 		}
 	}
-	replaced := map[string]bool{} // by a newer process, which does not wait: the old one's place would be empty
+	replaced := map[string]bool{}                        // by a newer process, which does not wait: the old one's place would be empty
 	for _, id := range slices.Sorted(maps.Keys(m.out)) { // leavings first, and at once
 		n := m.out[id]
 		e, still := in[id]
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -104,12 +104,12 @@
 		}
 		ids := []string{"a", "b", "c", "d", "e"}
 		names := []string{"watch", "dns"}
-		list := map[string]Entry{}      // as the module has it
-		said := map[string]Entry{}      // source/id: what was said to have left, and not taken back
-		seq := map[string]int64{}       // of each source
-		views := map[string][]View{}    // that it has told
-		born := map[string]float64{}    // newest start that any source told
-		explicit := map[string]bool{}   // ids that were ever said to leave
+		list := map[string]Entry{}    // as the module has it
+		said := map[string]Entry{}    // source/id: what was said to have left, and not taken back
+		seq := map[string]int64{}     // of each source
+		views := map[string][]View{}  // that it has told
+		born := map[string]float64{}  // newest start that any source told
+		explicit := map[string]bool{} // ids that were ever said to leave
 		apply := func(changes []Change) {
 			for _, c := range changes {
 				if c.Member.State == balancer.Active {
