A crossing weighs less among many sidecars: two zones refused what others had room for

Counted over all sidecars' outcomes by zone: those at home in two zones refused 4,000 to 8,700 requests in 5 s (latency for each unit of work 105 to 365 ms), those in the other two refused next to none (35 to 60 ms). Nine in ten attempts stayed at home.

At fault: crossing() set a price of 3.5 mean aims x 0.12 against latency x (pending+1). In a small fleet a sidecar's own pending count shows a share of a crowded upstream's queue; one of eighty sees none of it, so home had to be slower by 134 ms, as much as an aim, before a request left. Above 16 sidecars the weight falls in proportion to their number.

Test: TestCrowdedHomeIsLeftInALargeFleet, fails without.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -27,6 +27,7 @@
 	decayAims    = 4.0              // mean aims over which estimates decay: long enough to hear from all
 	penaltyAims  = 1.0              // mean aims that a failure answer counts as: as bad as a miss
 	crossAims    = 3.5              // a crossing's price p weighs as p x this many aims of latency
+	crossFleet   = 16.0             // among more sidecars than this, less in proportion
 	meanWeight   = 0.02             // weight of a new sample in plain means: about the last 50
 	kindWeight   = 0.05             // the same for one kind of upstream, heard of less often
 	quantStep    = 0.1              // step of the learnt quantiles, in logarithm
@@ -442,12 +443,15 @@
 	return near
 }
 
-// crossing is what a crossing costs as latency, 0 where that matters little.
+// crossing is what a crossing costs as latency, 0 where that matters little. It weighs against latency x
+// (pending+1): of few sidecars each sees a crowded zone in its own pending count, of many none does, and
+// latency is all that tells. Guards against a large fleet that refuses at home, each sidecar by its own few
+// requests in hand, while other zones stand idle.
 func (b *Balancer) crossing() float64 {
-	if cross := b.set.PriceCrossZone * crossAims * b.meanAim; cross >= b.fleet/4 {
-		return cross
+	if b.set.PriceCrossZone*crossAims*b.meanAim < b.fleet/4 {
+		return 0
 	}
-	return 0
+	return b.set.PriceCrossZone * crossAims * b.meanAim * min(1, crossFleet/float64(b.set.Balancers))
 }
 
 // twoChoices is the design's pick: the lower load of two distinct random upstreams. A pair asked for its
--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -338,6 +338,40 @@
 	}
 }
 
+// Of few sidecars each sees a crowded home in what it has out itself; of many none does. There home may be several times
+// as slow as elsewhere, which costs the fleet more than crossing does, and all sidecars refused what others had room for.
+func TestCrowdedHomeIsLeftInALargeFleet(t *testing.T) {
+	for _, tt := range []struct {
+		sidecars, least, most int // of 200 requests that cross
+	}{{4, 0, 20}, {80, 100, 200}} {
+		s := testSettings()
+		s.PriceCrossZone, s.Balancers = 0.12, tt.sidecars
+		w := newWorld(t, s, func(u string) (Result, time.Duration) {
+			if u < "u5" {
+				return OK, 85 * ms // crowded by all the others
+			}
+			return OK, 25 * ms
+		})
+		var list []Member
+		for i := range 10 {
+			list = append(list, Member{Upstream: fmt.Sprint("u", i), Zone: string(rune('a' + i/5))})
+		}
+		w.list(Full, list...)
+		w.play(5*time.Second, 20)
+		clear(w.sends)
+		w.play(10*time.Second, 20)
+		far := 0
+		for u, n := range w.sends {
+			if u >= "u5" {
+				far += n
+			}
+		}
+		if far < tt.least || far > tt.most {
+			t.Errorf("of %d sidecars: %d of 200 crossed, want %d to %d", tt.sidecars, far, tt.least, tt.most)
+		}
+	}
+}
+
 // Under pressure what is worth least goes first.
 func TestLeastWorthIsRefusedFirst(t *testing.T) {
 	s := testSettings()
