Cold budgets use what a kind of machine can bear: a returned zone stood idle beside full ones

Seen, over all sidecars: after a zone's return (zone+vast, 14 to 18 s) its servers got 37 in 100 of their usual load and answered in 50 ms for a unit of work, while the other zones' took 96; on join+vast the new servers answered in 50 to 90, the old ones in 130 to 180. All the while 13 to 30 in 100 requests were refused.

Cause: coldAllows. The budget was 0.45 of what pushes a mean machine over, against slow kinds, and it is split evenly over all sidecars, of which mostly those at home ask for it.

Now 0.85 of it, in proportion to how fast the upstream's kind answers (1.5 times at most), which keeps slow kinds where they were; and the first token is due at any time, since news of a start comes to all sidecars together and one request each is a burst.

TestColdUpstreamOfALargeFleet fails with the old share.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -57,7 +57,8 @@
 	subsetTime   = 5 * time.Second  // as many as requests come in this
 	tryVotes     = 20               // requests that settle what time left is usual
 	fleetMemory  = 60 * time.Second // a list that was longer is remembered for it
-	coldPart     = 0.45             // share used of what pushes a cold upstream over: it may be a small one
+	coldPart     = 0.85             // share used of what pushes a cold upstream over
+	coldKind     = 1.5              // times that at most for kinds faster than the mean; less for slower ones
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
 	askMax       = 2 * time.Second
 	probePrice   = 0.02  // share of service that asking a pair may cost; half of it is cheap
@@ -744,7 +745,8 @@
 
 // chill begins an upstream's warm-up at from.
 func (b *Balancer) chill(u *upstream, from time.Duration) {
-	u.cold, u.coldFrom, u.filled, u.tokens = true, from, b.now, 1
+	// The first token is due at any time: news of u comes to all sidecars together, and one each is a burst.
+	u.cold, u.coldFrom, u.filled, u.tokens = true, from, b.now, b.rng.Float64()
 	u.est = estimate{*u.kind / b.warmth(u), b.now}
 }
 
@@ -762,15 +764,15 @@
 
 // coldAllows holds a cold upstream to a part of what would push it over. The rule is about the work of all
 // sidecars together, and a sidecar sees only its own. It does its part when it sends no more than that
-// multiple of its own mean load, as far as the upstream is warm: what warm upstreams bear is below their
-// capacity.
+// multiple of its own mean load, as far as the upstream is warm and its kind is as fast as the mean: what
+// warm upstreams bear is below their capacity.
 func (b *Balancer) coldAllows(u *upstream) bool {
 	f := b.warmth(u)
 	if !u.cold {
 		return true
 	}
 	if b.set.FallMultiple > 0 {
-		f *= coldPart * b.set.FallMultiple
+		f *= coldPart * b.set.FallMultiple * min(coldKind, b.fleet / *u.kind)
 	}
 	perSec := f * b.offered.per(b.now) / float64(b.fleetSize())
 	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
