--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -27,7 +27,7 @@
 	decayAims    = 4.0              // mean aims over which estimates decay: long enough to hear from all
 	penaltyAims  = 1.0              // mean aims that a failure answer counts as: as bad as a miss
 	crossAims    = 3.5              // a crossing's price p weighs as p x this many aims of latency
-	crossFleet   = 16.0             // among more sidecars than this, less in proportion
+	crossFleet   = 32.0             // among more sidecars than this, less in proportion
 	meanWeight   = 0.02             // weight of a new sample in plain means: about the last 50
 	kindWeight   = 0.05             // the same for one kind of upstream, heard of less often
 	quantStep    = 0.1              // step of the learnt quantiles, in logarithm
@@ -53,12 +53,13 @@
 	trustDown    = 0.7              // and one that missed so many: both even out where 4 in 10 miss
 	trustMin     = 0.1              // down to this share of what comes
 	trustMax     = 2.5              // a few misses in a row are chance
-	subsetLeast  = 6.0              // upstreams that a quiet sidecar draws its pairs from, or more:
-	subsetTime   = 5 * time.Second  // as many as requests come in this
+	subsetLeast  = 10.0             // upstreams that a quiet sidecar draws its pairs from, or more:
+	subsetTime   = time.Second / 2  // as many as requests come in this
 	tryVotes     = 20               // requests that settle what time left is usual
 	fleetMemory  = 60 * time.Second // a list that was longer is remembered for it
 	coldPart     = 0.85             // share used of what pushes a cold upstream over
 	coldKind     = 1.5              // times that at most for kinds faster than the mean; less for slower ones
+	coldSubset   = 0.8              // of that, what sidecars may send in whose subset it is
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
 	askMax       = 2 * time.Second
 	probePrice   = 0.02  // share of service that asking a pair may cost; half of it is cheap
@@ -426,6 +427,12 @@
 	for _, u := range first(b.list, n, func(u *upstream) bool { return b.now >= u.until }, b.self) {
 		u.chosen = true
 	}
+	b.subset = 0
+	for _, u := range b.list {
+		if u.chosen {
+			b.subset++
+		}
+	}
 }
 
 // zonePick stays in the home zone while it serves about as well as the fleet. Guards against paying for
@@ -721,7 +728,7 @@
 	}
 	if u == nil || u.cameUp != m.CameUp { // a new process: what was learnt of the old one is void
 		old := u
-		u = &upstream{id: m.Upstream, hash: hash(m.Upstream), cameUp: m.CameUp, kind: b.kindOf(m.Kind)}
+		u = &upstream{id: m.Upstream, hash: hash(m.Upstream), cameUp: m.CameUp, kind: b.kindOf(m.Kind, m.Zone)}
 		u.est = estimate{*u.kind, b.now}
 		if m.CameUp > 0 && b.now-m.CameUp < b.set.WarmUp {
 			b.chill(u, m.CameUp)
@@ -774,13 +781,27 @@
 	if b.set.FallMultiple > 0 {
 		f *= coldPart * b.set.FallMultiple * min(coldKind, b.fleet / *u.kind)
 	}
-	perSec := f * b.offered.per(b.now) / float64(b.fleetSize())
+	perSec := f * b.offered.per(b.now) * b.coldShare(u)
 	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
 	u.tokens = min(depth, u.tokens+perSec*(b.now-u.filled).Seconds())
 	u.filled = b.now
 	return u.tokens >= 1
 }
 
+// coldShare is the part of its load that this sidecar counts as u's share. Where pairs are drawn from
+// subsets, u gets most from the few sidecars whose subset it is in, and the rest leave it little: together they
+// stay at one mean load. Guards against budgets for all that few use: machines that came back stood idle.
+func (b *Balancer) coldShare(u *upstream) float64 {
+	fleet := float64(b.fleetSize())
+	switch {
+	case b.subset >= len(b.list):
+		return 1 / fleet
+	case u.chosen:
+		return coldSubset * float64(len(b.list)) / fleet / float64(b.subset)
+	}
+	return (1 - coldSubset) / fleet
+}
+
 // fleetSize is over how many upstreams the load was spread of late. Guards against taking the first few that
 // come back after all have gone for the whole fleet: their mean load is the fleet's, and they are cold. A
 // rolling deploy, which leaves more than half in place, is held to the list as it is.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -100,7 +100,7 @@
 	subscribed, asking bool
 	askFails           int
 
-	kinds     map[string]*float64 // mean normalised latency by kind of upstream
+	kinds     map[string]*float64 // mean normalised latency by kind of upstream and zone
 	fleet     float64             // mean normalised latency, seconds
 	mean      float64             // mean latency, seconds
 	hintMean  float64
@@ -123,6 +123,7 @@
 	handMean, servedSlow rate          // inHand, and answers a second, over a longer while
 	trust                float64       // share of requests admitted after misses; above 1: all
 	self                 uint64        // gives the order of its subset
+	subset               int           // upstreams that are in it
 	chosen               time.Duration // when the subset was last settled
 	handAt               time.Duration // when inHand last changed
 	offered              rate          // arriving work, in mean requests a second
@@ -187,8 +188,10 @@
 	return top
 }
 
-// kindOf is the mean that upstreams of a kind share; a kind not met before starts from the mean of all.
-func (b *Balancer) kindOf(name string) *float64 {
+// kindOf is the mean that upstreams of a kind in one zone share; one not met before starts from the mean of all. Zones
+// have means of their own: those of a crowded home would tell that it is no better elsewhere, where nobody has looked.
+func (b *Balancer) kindOf(kind, zone string) *float64 {
+	name := kind + "\x00" + zone
 	if b.kinds[name] == nil {
 		mean := b.fleet
 		b.kinds[name] = &mean
