--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -788,9 +788,10 @@
 	return u.tokens >= 1
 }
 
-// coldShare is the part of its load that this sidecar counts as u's share. Where pairs are drawn from subsets,
-// u gets most from the few sidecars whose subset it is in, and the rest leave it little: together they stay
-// at one mean load. Guards against budgets for all that few use: machines that came back stood idle.
+// coldShare is the part of its load that this sidecar counts as u's share. Where pairs are drawn from
+// subsets, u gets most from the few sidecars in whose subset it is, and the rest leave it little: together
+// they stay at one mean load. Guards against even budgets that most sidecars leave unused: what came back
+// cold stood idle.
 func (b *Balancer) coldShare(u *upstream) float64 {
 	fleet := float64(b.fleetSize())
 	switch {
