--- a/internal/platform/config_test.go
+++ b/internal/platform/config_test.go
@@ -49,6 +49,9 @@
 		"listen":      {"127.0.0.1:0", "here", "listen"},
 		"discovery":   {"127.0.0.1:2", "there", "discovery"},
 		"semantics":   {`"fragile"`, `"odd"`, "Effect"},
+		"negative":    {`"Balancers":1`, `"Balancers":-3`, "Balancers"},
+		"fractional":  {`"Balancers":1`, `"Balancers":2.5`, "Balancers"},
+		"no number":   {`"Balancers":1`, `"Balancers":"many"`, "Balancers"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cfg, err := loadWith(t, strings.Replace(good, c.old, c.new, 1), nil)
@@ -65,6 +68,23 @@
 	}
 }
 
+// A number of sidecars that is not told, or 0, is one: nothing that large fleets do is on.
+func TestSidecarsNotTold(t *testing.T) {
+	good := fmt.Sprintf(fixture.Config, "127.0.0.1:2", "127.0.0.1:3")
+	for _, now := range []string{"", `"Balancers":0,`} {
+		cfg, err := loadWith(t, strings.Replace(good, `"Balancers":1,`, now, 1), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := cfg.Settings.Settings().Balancers; n != 0 { // the module takes 0 for 1
+			t.Errorf("%q: %d", now, n)
+		}
+		if _, err := balancer.New(cfg.Settings.Settings(), 1); err != nil {
+			t.Errorf("%q: %v", now, err)
+		}
+	}
+}
+
 // At the start the variable names discovery, after a new configuration the file does.
 func TestReloadedFileGoesBeforeVariables(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -37,6 +37,46 @@
 	hosts   map[string]Host
 	log     []listing // changes, in order
 	changed chan struct{}
+
+	call, patience time.Duration // what a call takes of it, and what one may wait; 0: nothing, for ever
+	busy           time.Time     // until then it works through calls, in turn
+	calls, turned  int
+}
+
+// Limit makes it a service of fixed capacity: a call takes so long, calls are worked through in turn, and one whose answer
+// would take longer than patience is turned away with 503.
+func (d *Discovery) Limit(call, patience time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.call, d.patience = call, patience
+}
+
+// Calls says how many calls came, and how many of them were turned away.
+func (d *Discovery) Calls() (all, turned int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls, d.turned
+}
+
+// turn takes a call in; false: it is turned away.
+func (d *Discovery) turn() (wait time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	if d.call == 0 {
+		return 0, true
+	}
+	ready := time.Now()
+	if d.busy.After(ready) {
+		ready = d.busy
+	}
+	ready = ready.Add(d.call)
+	if wait = time.Until(ready); wait > d.patience {
+		d.turned++
+		return 0, false
+	}
+	d.busy = ready
+	return wait, true
 }
 
 // keepAlive is how often an empty line comes while nothing changes.
@@ -95,6 +135,16 @@
 		http.NotFound(w, r)
 		return
 	}
+	wait, ok := d.turn()
+	if !ok {
+		http.Error(w, "too many calls", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case <-time.After(wait):
+	case <-r.Context().Done():
+		return
+	}
 	out := json.NewEncoder(w)
 	if r.URL.Query().Get("watch") == "" {
 		list, _ := d.after(0)
