--- a/internal/lab/world/discovery_test.go
+++ b/internal/lab/world/discovery_test.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -83,10 +84,11 @@
 	}
 }
 
+var fleets = flag.Uint64("fleets", 100, "how many fleets TestLargeFleetsKeepTheirBounds plays")
+
 // The three kinds of days of a large fleet at random, with the real module: no rule breaks, and no bound is passed.
 func TestLargeFleetsKeepTheirBounds(t *testing.T) {
-	const fleets = 100
-	for seed := range uint64(fleets) {
+	for seed := range *fleets {
 		cfg := Trouble(20, 400)
 		cfg.Length = 8 * time.Second
 		cfg.Discovery = Discovery{Capacity: 400, Call: 30, Timeout: time.Second, Overbook: 1}
