--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	guard  *guard.Guard // nil: there is no ledger of effects
 	admin  net.Listener // nil: there is no endpoint
 	extras []*extra
+	asked  bool // discovery is one service for all, and not an agent on this machine
 	log    *slog.Logger
 }
 
@@ -40,7 +41,7 @@
 	if odd != nil {
 		log.Warn("an entry of the list", "err", odd)
 	}
-	s := &sidecar{pool: pool, log: log}
+	s := &sidecar{pool: pool, asked: set.MustSubscribe, log: log}
 	defer func() {
 		if err != nil {
 			s.close()
@@ -61,7 +62,7 @@
 		transport = s.guard.Transport(pool)
 	}
 	s.engine, err = engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: transport,
-		Source: watch.New(cfg.Discovery, log), Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
+		Source: watch.New(cfg.Discovery, set.MustSubscribe, log), Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -25,6 +25,6 @@
 			continue
 		}
 		s.log.Info("discovery", "addr", cfg.Discovery)
-		s.engine.Move(watch.New(cfg.Discovery, s.log))
+		s.engine.Move(watch.New(cfg.Discovery, s.asked, s.log))
 	}
 }
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -125,10 +125,14 @@
 // begins to count with its first list has that as version 0.
 const NoVersion = -1
 
+// OtherVersion is where a list is held, and its version says nothing to the source: it is another source's, or what came
+// after it is lost. What the source tells holds at once; the whole list may follow when it comes cheap.
+const OtherVersion = -2
+
 // News is what a Source tells.
 type News struct {
 	Kind    balancer.MembersKind
-	Seq     int64 // the list's version, from which a later Watch goes on; NoVersion: from the whole list
+	Seq     int64 // the list's version, from which a later Watch goes on; NoVersion, OtherVersion: from the whole list
 	Members []Member
 	Err     error // of kind Failed
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -476,13 +476,16 @@
 	})
 }
 
-// move starts a watch at another source at once, on the whole list: versions there may be others, and how long the
-// module would wait after failures belongs to the old one.
+// move starts a watch at another source at once: versions there may be others, and how long the module would wait after
+// failures belongs to the old one. The list that is held goes on to be served from.
 func (e *Engine) move(s Source) {
 	if e.ending {
 		return
 	}
-	e.source, e.seq, e.lost = s, NoVersion, false
+	e.source, e.lost = s, false
+	if e.seq != NoVersion {
+		e.seq = OtherVersion
+	}
 	e.subscribe()
 }
 
--- /dev/null
+++ b/internal/membership/watch/course.go
@@ -0,0 +1,157 @@
+package watch
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+)
+
+// What is made of a watch's lines, and when the whole list is asked for beside it: decisions without I/O. The watch's
+// one goroutine calls all of it. Its tests are the scripts under testdata.
+
+const (
+	// listBase is the first wait before the whole list is asked for beside a watch that tells the changes anyhow. It
+	// doubles with each failure up to listMax, and is spread by half of it to either side. Guards against a discovery
+	// of fixed capacity to which all instances were moved at once: with a list and a watch of each in the same second
+	// it turned both away, and who had no watch heard of no drain.
+	listBase = 3 * time.Second
+	listMax  = 24 * time.Second
+	// holdMost is how many entries are remembered until the whole list has come. Beyond it a call that fails ends the
+	// watch, and the next one begins anew.
+	holdMost = 100_000
+)
+
+// course is one watch's.
+type course struct {
+	held    bool // a list is, if of another discovery
+	patient bool // and calls have a price: the whole one can wait
+	rng     *rand.Rand
+
+	seq     int64
+	told    bool
+	missing bool          // the whole list
+	asked   bool          // it is under way
+	at      time.Duration // when to ask for it next
+	fails   int
+	since   map[string]entry // what was told while it was missing
+}
+
+// entry is a member as the version seq showed it.
+type entry struct {
+	seq int64
+	engine.Member
+}
+
+// newCourse is of a watch from version seq on; asked says that discovery is one service for all, and not an agent on
+// this machine. Times are counted from any one moment.
+func newCourse(seq int64, asked bool, rng *rand.Rand) *course {
+	held := seq != engine.NoVersion
+	return &course{held: held, patient: held && asked, rng: rng, seq: seq, missing: seq < 0, since: map[string]entry{}}
+}
+
+// line takes a line of the watch, n, or nil for an empty one. It returns what to tell. What a line says holds at once,
+// also while the whole list is missing: it may be a drain.
+func (c *course) line(now time.Duration, n *engine.News) []engine.News {
+	first := !c.told
+	switch {
+	case n == nil && (!first || c.missing): // it only says that nothing changed
+		if first {
+			c.begin(now)
+		}
+		c.told = true
+		return nil
+	case n == nil:
+		n = &engine.News{Kind: balancer.Change, Seq: c.seq}
+	case !first && n.Kind == balancer.Change && n.Seq <= c.seq:
+		return nil // the whole list had it already: it may bring back what has left since
+	}
+	c.told = true
+	if n.Kind == balancer.Full {
+		c.missing = false
+		clear(c.since)
+	}
+	if c.missing {
+		if first {
+			c.begin(now)
+		}
+		for _, m := range n.Members {
+			c.since[m.ID] = entry{n.Seq, m}
+		}
+	}
+	c.seq = n.Seq
+	if c.missing && !c.held { // these alone would be taken for the whole fleet, and get all of its load
+		return nil
+	}
+	return []engine.News{*n}
+}
+
+// begin plans the call for the whole list, beside the first line. Guards against a discovery to which version 0 is a list like others: its
+// first line tells what changed since, which alone is of little use to who does not hold that.
+func (c *course) begin(now time.Duration) {
+	if c.at = now; c.patient {
+		c.at += c.wait()
+	}
+}
+
+func (c *course) wait() time.Duration {
+	d := min(listBase<<min(c.fails, 10), listMax)
+	return time.Duration(float64(d) * (0.5 + c.rng.Float64()))
+}
+
+// due says when the whole list is to be asked for; false: it is not.
+func (c *course) due() (time.Duration, bool) { return c.at, c.told && c.missing && !c.asked }
+
+// ask says that it is asked for.
+func (c *course) ask() { c.asked = true }
+
+// failed takes a failure of that call. It returns false where the watch is to be given up: nothing is held that could
+// be served meanwhile, and the module, who knows how long the list is lost, decides how soon to try again.
+func (c *course) failed(now time.Duration) bool {
+	c.asked = false
+	c.fails++
+	c.at = now + c.wait()
+	return c.patient && len(c.since) <= holdMost
+}
+
+// list takes the whole list. What the watch told of later versions goes before it: it may be older, and would bring
+// back what has left since.
+func (c *course) list(n engine.News) []engine.News {
+	c.asked = false
+	if !c.missing { // the watch itself brought one
+		return nil
+	}
+	c.missing = false
+	newer := map[string]engine.Member{}
+	for id, e := range c.since {
+		if e.seq > n.Seq {
+			newer[id] = e.Member
+		}
+	}
+	clear(c.since)
+	n.Members = slices.DeleteFunc(n.Members, func(m engine.Member) bool {
+		_, ok := newer[m.ID]
+		return ok
+	})
+	for _, id := range slices.Sorted(maps.Keys(newer)) {
+		n.Members = append(n.Members, newer[id])
+	}
+	n.Seq = max(c.seq, n.Seq)
+	c.seq = n.Seq
+	return []engine.News{n}
+}
+
+// from is the version that the next watch goes on from. lost says that something which this one brought is not known: then
+// it begins anew, beside the list that is held, if there is one.
+func (c *course) from(lost bool) int64 {
+	switch {
+	case c.missing && !c.held:
+		return engine.NoVersion
+	case lost || c.missing:
+		return engine.OtherVersion
+	}
+	return c.seq
+}
--- a/rpc/hazelgrpc/members.go
+++ b/rpc/hazelgrpc/members.go
@@ -75,7 +75,7 @@
 // addr.
 func Watch(addr string) Members {
 	return Members{func(log *slog.Logger) (engine.Source, []engine.Member, error) {
-		return watch.New(addr, log), nil, nil
+		return watch.New(addr, false, log), nil, nil
 	}}
 }
 
