--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -418,21 +418,32 @@
 // get a request each in a while, ejected ones not counted. Guards against estimates that are always stale.
 // It acts where the list is longer, sidecars are many (the subsets of few load upstreams unevenly) and probes
 // not cheap (those tell anew each time). What has a key or finds none ready in the subset draws from all.
+// Where crossings cost, half of it is from home, as far as there are so many: a subset of all zones holds two
+// or three there, of which the better is often worse than any far one, and nine in ten crossings follow.
 func (b *Balancer) choose() {
 	b.chosen = b.now
 	all := b.asks() && b.cheap() || b.set.Balancers < fewBalancers
+	b.zones = map[string]int{}
 	for _, u := range b.list {
 		u.chosen = all
+		b.zones[u.zone]++
 	}
 	if b.subset = len(b.list); all {
 		return
 	}
 	n := int(max(subsetLeast, b.offered.per(b.now)*subsetTime.Seconds()))
-	top := first(b.list, n, func(u *upstream) bool { return b.now >= u.until }, b.self)
-	for _, u := range top {
-		u.chosen = true
+	b.subset = 0
+	take := func(n int, ok func(u *upstream) bool) {
+		for _, u := range first(b.list, n, ok, b.self) {
+			u.chosen = true
+			b.subset++
+		}
+	}
+	if b.crossing() > 0 {
+		take((n+1)/2, func(u *upstream) bool { return u.zone == b.set.Zone && b.now >= u.until })
 	}
-	b.subset = len(top)
+	b.fromHome = b.subset
+	take(n-b.subset, func(u *upstream) bool { return !u.chosen && b.now >= u.until })
 }
 
 // zonePick stays in the home zone while it serves about as well as the fleet. Guards against paying for
@@ -803,11 +814,23 @@
 	case b.subset >= len(b.list):
 		return 1 / fleet
 	case u.chosen:
-		return coldSubset * float64(len(b.list)) / fleet / float64(b.subset)
+		return coldSubset / fleet / b.drawn(u)
 	}
 	return (1 - coldSubset) / fleet
 }
 
+// drawn is the part of all sidecars in whose subset u is, as far as they are like this one and even over
+// zones. Guards against cold budgets of one size for all: where half of a subset is from home, the few
+// upstreams of a small zone are in more subsets than those of a large one.
+func (b *Balancer) drawn(u *upstream) float64 {
+	all, zones := float64(len(b.list)), float64(len(b.zones))
+	if b.fromHome == 0 || zones < 2 {
+		return float64(b.subset) / all
+	}
+	home, far := float64(b.fromHome), float64(b.subset-b.fromHome)
+	return min(1, home/float64(b.zones[u.zone]))/zones + (1-1/zones)*far/(all-all/zones)
+}
+
 // fleetSize is over how many upstreams the load was spread of late. Guards against taking the first few that
 // come back after all have gone for the whole fleet: their mean load is the fleet's, and they are cold. A
 // rolling deploy, which leaves more than half in place, is held to the list as it is.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -113,24 +113,25 @@
 	keys      shares     // of requests, by key
 	askers    []*request // wait for probes
 
-	coldHold             bool          // the cold limit has held work back, and none that was cold is warm yet
-	shedding             time.Duration // when work was last refused for pressure, 0: not of late
-	ranks                ranks         // of the latest requests' worth
-	limit                float64       // share of their aim that requests in hand may wait
-	waiting              int           // requests in hand
-	inHand               float64       // sum of their 1/aim
-	arrivals             time.Duration // sum of their arrival times; may wrap around
-	served               rate          // answers a second
-	handMean, servedSlow rate          // inHand, and answers a second, over a longer while
-	trust                float64       // share of requests admitted after misses; above 1: all
-	self                 uint64        // gives the order of its subset
-	subset               int           // upstreams that are in it
-	chosen               time.Duration // when the subset was last settled
-	handAt               time.Duration // when inHand last changed
-	offered              rate          // arriving work, in mean requests a second
-	widest               int           // how long the list was at most, in the last fleetMemory
-	widestAt             time.Duration // until when
-	tenants              []rate        // arriving requests by tenant
+	coldHold             bool           // the cold limit has held work back, and none that was cold is warm yet
+	shedding             time.Duration  // when work was last refused for pressure, 0: not of late
+	ranks                ranks          // of the latest requests' worth
+	limit                float64        // share of their aim that requests in hand may wait
+	waiting              int            // requests in hand
+	inHand               float64        // sum of their 1/aim
+	arrivals             time.Duration  // sum of their arrival times; may wrap around
+	served               rate           // answers a second
+	handMean, servedSlow rate           // inHand, and answers a second, over a longer while
+	trust                float64        // share of requests admitted after misses; above 1: all
+	self                 uint64         // gives the order of its subset
+	subset, fromHome     int            // upstreams that are in it, and those taken for being at home
+	zones                map[string]int // upstreams of each zone
+	chosen               time.Duration  // when the subset was last settled
+	handAt               time.Duration  // when inHand last changed
+	offered              rate           // arriving work, in mean requests a second
+	widest               int            // how long the list was at most, in the last fleetMemory
+	widestAt             time.Duration  // until when
+	tenants              []rate         // arriving requests by tenant
 }
 
 // hold counts a request in hand, or with -1 out of it.
--- a/balancer/subset_test.go
+++ b/balancer/subset_test.go
@@ -98,3 +98,64 @@
 		t.Errorf("met %d of 30", len(got))
 	}
 }
+
+// zonedFleet has upstreams of two zones, of which small are in zone b; the sidecars are 60.
+func zonedFleet(t *testing.T, n, small int, seed uint64) *Balancer {
+	t.Helper()
+	s := testSettings()
+	s.Balancers, s.Zone, s.PriceCrossZone = 60, "a", 0.2
+	if seed%2 == 1 {
+		s.Zone = "b"
+	}
+	b, err := New(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Member
+	for i := range n {
+		m := Member{Upstream: fmt.Sprint("u", i), Zone: "a", Kind: "k"}
+		if i < small {
+			m.Zone = "b"
+		}
+		list = append(list, m)
+	}
+	b.Handle(time.Minute, Members{Kind: Full, Entries: list}, nil)
+	return b
+}
+
+// Where crossings cost, half of a subset is from home. Guards against two or three upstreams of home in a subset of ten, of
+// which the better is often worse than any of the others.
+func TestHalfOfASubsetIsFromHome(t *testing.T) {
+	for _, c := range []struct{ n, small, home, far int }{{60, 12, 5, 5}, {60, 2, 2, 8}, {60, 0, 0, 10}, {13, 12, 9, 1}} {
+		b := zonedFleet(t, c.n, c.small, 1)
+		home, far := 0, 0
+		for _, u := range b.list {
+			if u.chosen && u.zone == "b" {
+				home++
+			} else if u.chosen {
+				far++
+			}
+		}
+		if home < c.home || home+far != 10 {
+			t.Errorf("%d upstreams, %d of them at home: %d and %d in the subset, want %d and %d", c.n, c.small, home, far, c.home, c.far)
+		}
+	}
+}
+
+// What all sidecars together may send to a cold upstream stays what it is by the mean, also where zones are of different
+// sizes: their subsets hold the few of a small zone far more often.
+func TestColdSharesOfUnevenZones(t *testing.T) {
+	const sidecars, upstreams, small = 400, 60, 6
+	sum := map[string]float64{}
+	for seed := range uint64(sidecars) {
+		b := zonedFleet(t, upstreams, small, seed)
+		for _, u := range b.list {
+			sum[u.zone] += b.coldShare(u) / sidecars
+		}
+	}
+	for zone, n := range map[string]int{"a": upstreams - small, "b": small} {
+		if got := sum[zone] / float64(n) * upstreams; got < 0.8 || got > 1.2 {
+			t.Errorf("zone %s of %d upstreams: together %.2f of a mean load each", zone, n, got)
+		}
+	}
+}
