After a move the old discovery is heard until the new one answers, of what leaves only

Change: engine.move leaves the old watch open until its successor has answered; of what it tells only leavings are taken (balancer.Aside: no sign that the list is followed, or the module would stop asking the new source). Two watches at most. A first empty line is told, so that the engine knows that the call was answered.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -111,6 +111,7 @@
 	Change                    // changed entries only
 	Saved                     // the whole list as last held; may be stale
 	Failed                    // a Subscribe or Fetch failed, or the subscription broke
+	Aside                     // changed entries that came beside the subscription, of which they say nothing
 )
 
 // Members brings the list of upstreams, or news of it.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -707,13 +707,13 @@
 		b.after(b.now+time.Duration(float64(d)*(0.5+b.rng.Float64())), timerAsk, nil)
 		return
 	}
-	if b.asking || e.Kind != Saved { // also one that came unasked: the sidecar may subscribe elsewhere by itself
+	if e.Kind != Aside && (b.asking || e.Kind != Saved) { // also unasked: the sidecar may subscribe elsewhere
 		if b.askFails > 0 {
 			b.log("list regained")
 		}
 		b.subscribed, b.asking, b.askFails = true, false, 0
 	}
-	if e.Kind != Change {
+	if e.Kind != Change && e.Kind != Aside {
 		for _, u := range b.list {
 			u.listed = false
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"hazelwing/balancer"
@@ -59,7 +60,7 @@
 	News
 }
 
-// watch is one call of the source's Watch.
+// watch is one call of a source's Watch.
 type watch struct{ stop context.CancelFunc }
 
 // Engine runs one Balancer. Do and Move may be called from any goroutine.
@@ -82,6 +83,7 @@
 	calls  map[string]*Call
 	out    int // exchanges that have not ended
 	watch  *watch
+	before *watch // the one that was open when the list was moved, until its successor has answered
 	seq    int64
 	lost   bool // the pushed list's source did not answer
 	timer  *time.Timer
@@ -438,9 +440,8 @@
 // end answers all calls in hand and waits for every exchange. The Balancer is no longer asked.
 func (e *Engine) end() {
 	e.ending = true
-	if e.watch != nil {
-		e.watch.stop()
-	}
+	e.watch.end()
+	e.before.end()
 	for _, c := range e.calls {
 		if len(c.attempts) == 0 {
 			e.result(c, Result{Kind: Refused, Err: errClosed})
@@ -463,9 +464,7 @@
 
 // follow replaces the watch by a new one.
 func (e *Engine) follow(pause time.Duration) {
-	if e.watch != nil {
-		e.watch.stop()
-	}
+	e.watch.end()
 	w := new(watch)
 	e.watch = w
 	w.stop = e.source.Watch(e.seq, pause, func(n News) {
@@ -476,12 +475,24 @@
 	})
 }
 
+// end stops a watch, if there is one.
+func (w *watch) end() {
+	if w != nil {
+		w.stop()
+	}
+}
+
 // move starts a watch at another source at once: versions there may be others, and how long the module would wait after
-// failures belongs to the old one. The list that is held goes on to be served from.
+// failures belongs to the old one. The list that is held goes on to be served from, and the old watch goes on until the
+// new one has answered. Guards against a new source that is out of reach, or turns many away because all instances were
+// moved at once: until it answers, the old one is all that tells of drains. There are two watches at most.
 func (e *Engine) move(s Source) {
 	if e.ending {
 		return
 	}
+	if e.before == nil {
+		e.before, e.watch = e.watch, nil
+	}
 	e.source, e.lost = s, false
 	if e.seq != NoVersion {
 		e.seq = OtherVersion
@@ -489,8 +500,24 @@
 	e.subscribe()
 }
 
+// formerly takes what the old source tells after the list was moved: that something leaves, and nothing else.
+func (e *Engine) formerly(n News) {
+	if n.Kind == balancer.Failed {
+		e.before = nil
+		return
+	}
+	leave := slices.DeleteFunc(slices.Clone(n.Members), func(m Member) bool { return m.State == balancer.Active })
+	if len(leave) > 0 {
+		e.take(News{Kind: balancer.Aside, Members: leave})
+	}
+}
+
 func (e *Engine) news(n told) {
-	if n.watch != e.watch {
+	switch {
+	case n.watch != nil && n.watch == e.before:
+		e.formerly(n.News)
+		return
+	case n.watch != e.watch:
 		return // of a watch that another call has replaced
 	}
 	e.seq = n.Seq
@@ -509,7 +536,16 @@
 		return
 	}
 	e.lost = false
-	e.transport.Update(n.Kind != balancer.Change, n.Members, time.Now())
+	if n.watch != nil {
+		e.before.end()
+		e.before = nil
+	}
+	e.take(n.News)
+}
+
+// take hands what changed to the transport and the module.
+func (e *Engine) take(n News) {
+	e.transport.Update(n.Kind == balancer.Full || n.Kind == balancer.Saved, n.Members, time.Now())
 	members := make([]balancer.Member, len(n.Members))
 	for i, m := range n.Members {
 		members[i] = balancer.Member{Upstream: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -348,6 +348,51 @@
 	}
 }
 
+// Until the source that the list was moved to has answered, the old one is still heard, but only of what leaves. Guards
+// against a new source that turns everybody away, and drains that nobody tells meanwhile.
+func TestOldSourceIsHeardUntilTheNewOneAnswers(t *testing.T) {
+	f, next := newFake(), newFake()
+	e := idle(t, f, testSettings(), 2)
+	old := fixture.Receive(t, f.watches, "the first watch")
+	e.event(moved{next})
+	e.event(moved{next}) // again, before it has answered
+	fixture.Receive(t, next.watches, "the new watch")
+	w := fixture.Receive(t, next.watches, "the newer watch")
+	leaving := fleet(1)
+	leaving[0].State = balancer.Leaving
+	old.tell(News{Kind: balancer.Full, Seq: 8, Members: append(leaving, Member{ID: "new", Zone: "a"})})
+	e.step(nil)
+	e.arrive(newCall("1", "look"))
+	if old.ctx.Err() != nil || f.members["m0"].State == balancer.Active || f.members["new"].ID != "" || e.seq != OtherVersion {
+		t.Errorf("members %v, version %d, the old watch: %v", f.members, e.seq, old.ctx.Err())
+	}
+	x := fixture.Receive(t, f.sent, "the attempt")
+	if x.member != "m1" {
+		t.Errorf("sent to %s", x.member)
+	}
+	x.end <- Outcome{Result: balancer.OK, Final: true}
+	// That is no sign that the list is followed again: the module asks on.
+	w.tell(News{Kind: balancer.Failed, Seq: OtherVersion})
+	e.step(nil)
+	old.tell(News{Kind: balancer.Change, Seq: 9, Members: leaving})
+	e.step(nil)
+	for len(next.watches) == 0 {
+		e.step(nil)
+	}
+	w = fixture.Receive(t, next.watches, "the next one")
+	w.tell(News{Kind: balancer.Change, Seq: 3})
+	e.step(nil)
+	if old.ctx.Err() == nil || e.seq != 3 {
+		t.Errorf("the new one has answered: version %d, the old watch: %v", e.seq, old.ctx.Err())
+	}
+	updates := f.updates
+	old.tell(News{Kind: balancer.Change, Seq: 9, Members: fleet(1)})
+	e.step(nil)
+	if f.updates != updates {
+		t.Error("the old source is heard after the new one has answered")
+	}
+}
+
 // A drain has to be heard before whatever else waits: what is sent after it may come too late.
 func TestListGoesFirst(t *testing.T) {
 	for range 10 { // without the order, each has an even chance
--- a/internal/membership/watch/course.go
+++ b/internal/membership/watch/course.go
@@ -58,13 +58,9 @@
 func (c *course) line(now time.Duration, n *engine.News) []engine.News {
 	first := !c.told
 	switch {
-	case n == nil && (!first || c.missing): // it only says that nothing changed
-		if first {
-			c.begin(now)
-		}
-		c.told = true
+	case n == nil && !first: // it only says that nothing changed
 		return nil
-	case n == nil:
+	case n == nil: // the same, and that the call is answered
 		n = &engine.News{Kind: balancer.Change, Seq: c.seq}
 	case !first && n.Kind == balancer.Change && n.Seq <= c.seq:
 		return nil // the whole list had it already: it may bring back what has left since
