--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -60,6 +60,8 @@
 	coldPart     = 0.85             // share used of what pushes a cold upstream over
 	coldKind     = 1.5              // times that at most for kinds faster than the mean; less for slower ones
 	coldSubset   = 0.8              // of that, what sidecars may send in whose subset it is
+	subsetHome   = 0.75             // of a subset, where crossings cost: the pair at home is a good one
+	homeSkew     = 1.3              // times the mean that a zone's traffic may be: nobody tells
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
 	askMax       = 2 * time.Second
 	probePrice   = 0.02  // share of service that asking a pair may cost; half of it is cheap
@@ -418,8 +420,8 @@
 // get a request each in a while, ejected ones not counted. Guards against estimates that are always stale.
 // It acts where the list is longer, sidecars are many (the subsets of few load upstreams unevenly) and probes
 // not cheap (those tell anew each time). What has a key or finds none ready in the subset draws from all.
-// Where crossings cost, half of it is from home, as far as there are so many: a subset of all zones holds two
-// or three there, of which the better is often worse than any far one, and nine in ten crossings follow.
+// Where crossings cost, most of it is from home, as far as there are so many: a subset of all zones holds two
+// or three there, of which the better is often worse than the better of the far ones.
 func (b *Balancer) choose() {
 	b.chosen = b.now
 	all := b.asks() && b.cheap() || b.set.Balancers < fewBalancers
@@ -440,7 +442,9 @@
 		}
 	}
 	if b.crossing() > 0 {
-		take((n+1)/2, func(u *upstream) bool { return u.zone == b.set.Zone && b.now >= u.until })
+		take(int(math.Ceil(subsetHome*float64(n))), func(u *upstream) bool {
+			return u.zone == b.set.Zone && b.now >= u.until
+		})
 	}
 	b.fromHome = b.subset
 	take(n-b.subset, func(u *upstream) bool { return !u.chosen && b.now >= u.until })
@@ -820,15 +824,15 @@
 }
 
 // drawn is the part of all sidecars in whose subset u is, as far as they are like this one and even over
-// zones. Guards against cold budgets of one size for all: where half of a subset is from home, the few
-// upstreams of a small zone are in more subsets than those of a large one.
+// zones, but for homeSkew. Guards against cold budgets of one size for all: where most of a subset is from
+// home, the few upstreams of a small zone are in more subsets, and those of a busy one in busier ones.
 func (b *Balancer) drawn(u *upstream) float64 {
 	all, zones := float64(len(b.list)), float64(len(b.zones))
 	if b.fromHome == 0 || zones < 2 {
 		return float64(b.subset) / all
 	}
 	home, far := float64(b.fromHome), float64(b.subset-b.fromHome)
-	return min(1, home/float64(b.zones[u.zone]))/zones + (1-1/zones)*far/(all-all/zones)
+	return homeSkew*min(1, home/float64(b.zones[u.zone]))/zones + (1-1/zones)*far/(all-all/zones)
 }
 
 // fleetSize is over how many upstreams the load was spread of late. Guards against taking the first few that
