--- a/balancer/bench_test.go
+++ b/balancer/bench_test.go
@@ -39,3 +39,60 @@
 		})
 	}
 }
+
+// zoned is a sidecar of a large fleet, of four zones that it pays for crossing, and its list.
+func zoned(b *testing.B, members int) (*Balancer, []Member) {
+	s := testSettings()
+	s.Balancers, s.PriceCrossZone = 300, 0.12
+	bal, err := New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Member
+	for i := range members {
+		list = append(list, Member{Upstream: "u" + strconv.Itoa(i), Zone: string(rune('a' + i%4)), Kind: "k"})
+	}
+	bal.Handle(60*1000*ms, Members{Kind: Full, Entries: list}, nil)
+	return bal, list
+}
+
+// BenchmarkLargeFleet is what a decision and a change of the list cost a sidecar of a large fleet.
+//
+//	go test ./balancer -run '^$' -bench LargeFleet -benchmem -count 6
+func BenchmarkLargeFleet(b *testing.B) {
+	for _, members := range []int{60, 300, 1000} {
+		b.Run(fmt.Sprintf("request/%d", members), func(b *testing.B) {
+			bal, _ := zoned(b, members)
+			now := 60 * 1000 * ms
+			var acts []Action
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := strconv.Itoa(i)
+				now += 20 * ms // quiet, as most are
+				acts = bal.Handle(now, Request{ID: id, Class: "c", Expires: now + 1000*ms}, acts[:0])
+				if n := len(kinds(acts, Send)); n != 1 {
+					b.Fatalf("%d attempts for request %d", n, i)
+				}
+				now += 20 * ms
+				acts = bal.Handle(now, Outcome{ID: id, Result: OK, Elapsed: 20 * ms, Finished: true}, acts[:0])
+				if len(acts) > 0 && acts[0].Kind == SetTimer {
+					acts = bal.Handle(acts[0].At, Wake{}, acts[:0])
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("change/%d", members), func(b *testing.B) {
+			bal, list := zoned(b, members)
+			now := 60 * 1000 * ms
+			var acts []Action
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += ms
+				m := list[i%members]
+				if i/members%2 == 0 {
+					m.State = Leaving
+				}
+				acts = bal.Handle(now, Members{Kind: Change, Entries: []Member{m}}, acts[:0])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/daemon/start_test.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hazelwing/internal/operator"
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+)
+
+// entry is one of a list in the configuration's form.
+func entry(name, dial string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","class":"m","block":0,"health":"SERVING","share":1.0,"born_ms":0}`, name, dial)
+}
+
+// known replaces the one upstream of fixture.Config, whose address was given as NoAddr, by these.
+func known(entries []string) []string {
+	return []string{entry("s", fixture.NoAddr), strings.Join(entries, ",")}
+}
+
+// A restarted sidecar is ready and serves from the list that it knew while discovery is out of reach, though a quarter of that
+// list is dead or has been taken over by others. Each wrong entry costs a few attempts, and no unsafe request runs twice.
+func TestStartWithAnOldListServes(t *testing.T) {
+	const members, wrong, requests = 12, 3, 150
+	var mu sync.Mutex
+	ran := map[string]int{}
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		ran[r.Header.Get("X-Request-Id")]++
+		mu.Unlock()
+		io.WriteString(w, "ok")
+	}))
+	defer good.Close()
+	var strangers atomic.Int32
+	other := fixture.Raw(t, func(_ int, c net.Conn, r *bufio.Reader) { // another process has its address, and speaks no HTTP
+		if fixture.ReadRequest(r) != nil {
+			strangers.Add(1)
+			io.WriteString(c, "-ERR unknown command\r\n")
+		}
+		c.Close()
+	})
+	list := make([]string, members)
+	for i := range list {
+		list[i] = entry(fmt.Sprint("s", i), good.Listener.Addr().String())
+	}
+	list[0], list[1], list[2] = entry("s0", fixture.NoAddr), entry("s1", fixture.NoAddr), entry("s2", other)
+	r := startSidecar(t, fixture.NoAddr, fixture.NoAddr, known(list)...)
+	resp, err := r.client.Get(r.url + "/up")
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("/up: %v %v", resp, err)
+	}
+	resp.Body.Close()
+	served := 0
+	for i := range requests {
+		method, class, body := "GET", "look", ""
+		if i%3 == 0 {
+			method, class, body = "POST", "book", "x"
+		}
+		resp, _ := r.do(t, r.request(t, method, class, strconv.Itoa(i), body))
+		if resp.StatusCode == http.StatusOK {
+			served++
+		} else if class == "look" {
+			t.Errorf("request %d: %s", i, resp.Status)
+		}
+	}
+	// Only what was written whole to the stranger may have run there, so that is all that may fail.
+	if lost := requests - served; lost > int(strangers.Load()) {
+		t.Errorf("%d requests failed, %d were written to a stranger", lost, strangers.Load())
+	}
+	if n := strangers.Load(); n > 3+requests/25 {
+		t.Errorf("%d requests went to a stranger", n)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range ran {
+		if i, _ := strconv.Atoi(id); n > 1 && i%3 == 0 {
+			t.Errorf("unsafe request %s ran %d times", id, n)
+		}
+	}
+}
+
+var drains = flag.Int("drains", 25, "how many drains TestDrainGrace announces")
+
+// From when discovery has written that a node drains to the last first byte that the node is sent: never beyond the grace.
+// docs/design/large-fleets.md has the spread over 1,000 drains.
+func TestDrainGrace(t *testing.T) {
+	const grace = 250 * time.Millisecond
+	d, err := standin.NewDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	var last [2]atomic.Int64 // when a node was last sent something, Unix nanoseconds
+	host := func(i int, health string) standin.Host {
+		return standin.Host{Host: fmt.Sprint("n", i), Site: "a", Class: "m", Health: health}
+	}
+	var nodes [2]standin.Host
+	for i := range nodes {
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			last[i].Store(time.Now().UnixNano())
+			time.Sleep(time.Millisecond)
+			io.WriteString(w, "ok")
+		}))
+		defer node.Close()
+		nodes[i] = host(i, "SERVING")
+		nodes[i].Dial = node.Listener.Addr().String()
+		d.Set(nodes[i])
+	}
+	r := startSidecar(t, d.Addr(), fixture.NoAddr, known([]string{entry("n0", nodes[0].Dial)})...)
+	stop := make(chan bool)
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	defer close(stop)
+	for c := range 4 {
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				resp, err := r.client.Do(r.request(t, "GET", "look", fmt.Sprintf("%d-%d", c, i), ""))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	var after []time.Duration
+	for n := range *drains {
+		i := n % 2
+		began := time.Now().UnixNano()
+		fixture.Until(t, "both nodes at work", func() bool { return last[0].Load() > began && last[1].Load() > began })
+		h := nodes[i]
+		h.Health = "DRAINING"
+		told := time.Now()
+		d.Set(h)
+		time.Sleep(grace + 20*time.Millisecond)
+		after = append(after, max(0, time.Unix(0, last[i].Load()).Sub(told)))
+		d.Set(nodes[i])
+	}
+	slices.Sort(after)
+	t.Logf("%d drains: the last first byte came p50 %v, p99 %v, at worst %v after", len(after), after[len(after)/2],
+		after[len(after)*99/100], after[len(after)-1])
+	if worst := after[len(after)-1]; worst > grace {
+		t.Errorf("a node was sent something %v after its drain was told", worst)
+	}
+}
+
+// What a sidecar holds for each member is bounded: the list, its estimates and the transport's entry, whatever its length.
+func TestMemoryByMembers(t *testing.T) {
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC() // what finalizers let go
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for _, n := range []int{60, 300, 1000} {
+		list := make([]string, n)
+		for i := range list {
+			list[i] = entry(fmt.Sprint("s-", i), fmt.Sprintf("10.1.%d.%d:8081", i/250, i%250))
+		}
+		cfg := loadText(t, strings.NewReplacer(known(list)...).Replace(fmt.Sprintf(fixture.Config, fixture.NoAddr, fixture.NoAddr)))
+		before := heap()
+		r, stop := run(t, cfg, new(operator.Config))
+		r.do(t, r.request(t, "GET", "look", "1", "")) // the list is in once this is answered
+		each := float64(heap()-before) / float64(n)
+		t.Logf("%d members: %.1f KB, %.0f bytes each", n, float64(heap()-before)/1024, each)
+		if n == 1000 && each > 4096 {
+			t.Errorf("%.0f bytes for each of %d members", each, n)
+		}
+		stop()
+	}
+}
