A log line and a figure for each connection bound that a sidecar reaches

Need: on-call staff saw nothing when a sidecar's connections were all taken: attempts waited, or clients were closed, in silence. Which, since when and how often is decided in internal/bound, without I/O; the pool and the front tell when they are full, and decide nothing else than before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"hazelwing/internal/admin"
+	"hazelwing/internal/bound"
 	"hazelwing/internal/engine"
 	"hazelwing/internal/front/httpfront"
 	"hazelwing/internal/ledger/guard"
@@ -25,6 +26,7 @@
 type sidecar struct {
 	engine *engine.Engine
 	pool   *http1.Pool
+	bounds *bound.Set
 	front  *httpfront.Server
 	guard  *guard.Guard // nil: there is no ledger of effects
 	admin  net.Listener // nil: there is no endpoint
@@ -35,13 +37,15 @@
 
 func build(cfg *platform.Config, op *operator.Config, log *slog.Logger) (_ *sidecar, err error) {
 	set := cfg.Settings.Settings()
+	bounds := bound.NewSet(log)
 	pool := http1.New(http1.Config{Connect: set.ConnectTimeout, Idle: cfg.Settings.ConnIdle(),
-		Grace: cfg.Settings.DrainGrace(), Conns: cfg.Limits.UpstreamConns(), Answer: cfg.Limits.Answer()})
+		Grace: cfg.Settings.DrainGrace(), Conns: cfg.Limits.UpstreamConns(), Answer: cfg.Limits.Answer(),
+		Full: bounds.Add("connections to upstreams", cfg.Limits.UpstreamConns())})
 	known, odd := cfg.Known.Members()
 	if odd != nil {
 		log.Warn("an entry of the list", "err", odd)
 	}
-	s := &sidecar{pool: pool, asked: set.MustSubscribe, log: log}
+	s := &sidecar{pool: pool, bounds: bounds, asked: set.MustSubscribe, log: log}
 	defer func() {
 		if err != nil {
 			s.close()
@@ -71,6 +75,7 @@
 		doer = s.guard.Doer(s.engine)
 	}
 	s.front = httpfront.New(doer, set.Classes)
+	s.front.OnFull(bounds.Add("connections of clients", cfg.Limits.ClientConns()))
 	if s.guard != nil {
 		s.front.TakeKeys()
 	}
@@ -95,7 +100,7 @@
 
 // parts are what the admin endpoint shows.
 func (s *sidecar) parts() admin.Parts {
-	p := admin.Parts{}
+	p := admin.Parts{"bounds": func() any { return s.bounds.State() }}
 	if s.guard != nil {
 		p["ledger"] = func() any { return s.guard.State() }
 	}
--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -80,6 +80,9 @@
 	if _, body := get("/"); !strings.Contains(body, `"ledger"`) {
 		t.Error(body)
 	}
+	if _, body := get("/bounds"); !strings.Contains(body, `"connections to upstreams"`) || !strings.Contains(body, `"limit": 504`) {
+		t.Error(body)
+	}
 	if status, _ := get("/other"); status != 404 {
 		t.Error(status)
 	}
--- a/internal/front/httpfront/admit.go
+++ b/internal/front/httpfront/admit.go
@@ -21,6 +21,7 @@
 type gate struct {
 	*net.TCPListener
 	max      int
+	reached  func()       // is called for each connection that comes when max are held
 	accepted atomic.Int64 // when a connection last came, Unix nanoseconds
 
 	mu   sync.Mutex
@@ -39,8 +40,8 @@
 	closed bool
 }
 
-func newGate(l net.Listener, limit int) *gate {
-	return &gate{TCPListener: l.(*net.TCPListener), max: limit}
+func newGate(l net.Listener, limit int, reached func()) *gate {
+	return &gate{TCPListener: l.(*net.TCPListener), max: limit, reached: reached}
 }
 
 // Accept returns the next connection that there is a place for.
@@ -52,6 +53,7 @@
 		}
 		g.accepted.Store(time.Now().UnixNano())
 		if g.full() {
+			g.reached()
 			runtime.Gosched() // who came before may have sent a good request: it is read first
 		}
 		if guest := g.admit(c); guest != nil {
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -52,12 +52,13 @@
 	longest  time.Duration              // deadline of a class: what a client says beyond it is cut
 	open     time.Duration              // how long connections are expected after the stop
 	keys     bool                       // unsafe requests may bring a key
+	full     func()                     // tells that all places for connections are taken
 	stopping atomic.Bool
 }
 
 // New is a front for calls of these classes.
 func New(e Doer, classes []balancer.Class) *Server {
-	s := &Server{engine: e, effects: map[string]balancer.Effect{}, open: stopAfter}
+	s := &Server{engine: e, effects: map[string]balancer.Effect{}, open: stopAfter, full: func() {}}
 	for _, c := range classes {
 		s.effects[c.Name] = c.Effect
 		s.longest = max(s.longest, c.Deadline)
@@ -69,10 +70,14 @@
 // Serve. Without it such a request is turned down, as on the platform.
 func (s *Server) TakeKeys() { s.keys = true }
 
+// OnFull lets reached be called, from the goroutine that accepts connections, for each that comes when all places are
+// taken: it or one that waits is closed for it. Call it before Serve.
+func (s *Server) OnFull(reached func()) { s.full = reached }
+
 // Serve serves what comes to l until ctx ends, and then until everything that was taken is answered. It holds at most
 // conns connections; where more come, those that have waited longest with no request open are closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener, conns int, log *slog.Logger) error {
-	g := newGate(l, conns)
+	g := newGate(l, conns, s.full)
 	h := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTime,
--- a/internal/transport/http1/http1_test.go
+++ b/internal/transport/http1/http1_test.go
@@ -401,6 +401,8 @@
 	})
 	p := testPool()
 	p.max = 1
+	var full atomic.Int32
+	p.full = func() { full.Add(1) }
 	hosts := append(active(addr), engine.Member{ID: "other", Addr: answering})
 	p.Update(true, hosts, time.Now())
 	wantResult(t, run(p.exchange(p.find("other"), fixture.Patience, testRequest("GET"))), balancer.OK)
@@ -421,6 +423,9 @@
 	first.cancel()
 	wantResult(t, fixture.Receive(t, done, "the outcome"), balancer.Cancelled)
 	wantResult(t, fixture.Receive(t, second, "the one that waited"), balancer.OK)
+	if n := full.Load(); n != 2 {
+		t.Errorf("the bound was told as reached %d times, want 2", n)
+	}
 }
 
 func TestLoadReport(t *testing.T) {
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -75,6 +75,7 @@
 	idle  time.Duration // how long a connection is kept
 	grace time.Duration // how long after news of its drain an upstream may still be sent to
 	max   int           // open connections
+	full  func()        // tells that as many are open
 	body  int64         // bytes of an answer's body
 
 	mu      sync.Mutex
@@ -98,6 +99,7 @@
 	Grace   time.Duration // in which a drain that was told may still be written to; 250 ms
 	Conns   int           // connections open at a time; 500
 	Answer  int64         // bytes that the body of an answer may have; 512 KiB, and never less
+	Full    func()        // is called, from any goroutine, when an exchange has to wait for a connection's place; may be nil
 }
 
 // New makes a Pool. Sweep closes what stands idle.
@@ -111,7 +113,10 @@
 	if c.Grace <= 0 {
 		c.Grace = defaultGrace
 	}
-	return &Pool{dial: net.Dialer{Timeout: c.Connect}, idle: time.Duration(float64(c.Idle) * idleShare), grace: c.Grace,
+	if c.Full == nil {
+		c.Full = func() {}
+	}
+	return &Pool{full: c.Full, dial: net.Dialer{Timeout: c.Connect}, idle: time.Duration(float64(c.Idle) * idleShare), grace: c.Grace,
 		max: cmp.Or(c.Conns, defaultConns), body: max(c.Answer, leastAnswer), ups: map[string]*upstream{}}
 }
 
@@ -172,6 +177,7 @@
 	turn := make(chan struct{})
 	p.waiting = append(p.waiting, turn)
 	p.mu.Unlock()
+	p.full()
 	ctx, cancel := context.WithTimeout(ctx, p.dial.Timeout)
 	defer cancel()
 	select {
