--- /dev/null
+++ b/internal/membership/dns/source.go
@@ -0,0 +1,57 @@
+package dns
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"hazelwing/internal/membership"
+)
+
+// Lookup finds a service's targets; Resolver.SRV is one. A Source calls it from its goroutine, one call at a time; it returns
+// soon after ctx ends.
+type Lookup func(ctx context.Context, name string) (Answer, error)
+
+// Source follows one SRV name.
+type Source struct {
+	Name    string
+	Lookup  Lookup
+	Refresh *Refresh
+	Log     *slog.Logger
+}
+
+// Run follows the name until ctx ends. It calls tell with each new view, and lost once what it told is too old, both from its
+// own goroutine, one call at a time; neither should block for long.
+func (s *Source) Run(ctx context.Context, tell func(membership.View), lost func(err error)) {
+	begun := time.Now()
+	step := s.Refresh.Start(0)
+	wait := time.NewTimer(step.Ask)
+	defer wait.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+		a, err := s.Lookup(ctx, s.Name)
+		if ctx.Err() != nil {
+			return
+		}
+		now := time.Since(begun)
+		if err != nil {
+			step = s.Refresh.Failed(now, err)
+		} else {
+			step = s.Refresh.Answered(now, a)
+		}
+		if step.Say != "" {
+			s.Log.Info("name service: "+step.Say, "name", s.Name)
+		}
+		if step.View != nil {
+			tell(*step.View)
+		}
+		if step.Lost {
+			lost(err)
+		}
+		wait.Reset(step.Ask - now)
+	}
+}
