A name service beside discovery, before the engine: leaving wins, off by default

Need: the node list comes seconds late; a second source makes it earlier, if it is clear what holds when they disagree. The merge and the resolver stood each by itself. Change: internal/membership/merged is an engine.Source of discovery and the sources beside it, [members.srv] in the operator's file turns it on, GET /members shows the list. What others than discovery say reaches the module as balancer.Aside: no sign that discovery is followed. A node that only the name service names, and not from the start, counts as just started.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"hazelwing/internal/engine"
 	"hazelwing/internal/front/httpfront"
 	"hazelwing/internal/ledger/guard"
+	"hazelwing/internal/membership/merged"
 	"hazelwing/internal/membership/watch"
 	"hazelwing/internal/operator"
 	"hazelwing/internal/platform"
@@ -28,11 +29,13 @@
 	pool   *http1.Pool
 	bounds *bound.Set
 	front  *httpfront.Server
-	guard  *guard.Guard // nil: there is no ledger of effects
-	admin  net.Listener // nil: there is no endpoint
-	extras []*extra
-	asked  bool // discovery is one service for all, and not an agent on this machine
-	log    *slog.Logger
+	// members is discovery and the sources beside it; nil: there are none.
+	members *merged.Source
+	guard   *guard.Guard // nil: there is no ledger of effects
+	admin   net.Listener // nil: there is no endpoint
+	extras  []*extra
+	asked   bool // discovery is one service for all, and not an agent on this machine
+	log     *slog.Logger
 }
 
 func build(cfg *platform.Config, op *operator.Config, log *slog.Logger) (_ *sidecar, err error) {
@@ -65,8 +68,14 @@
 	if s.guard != nil {
 		transport = s.guard.Transport(pool)
 	}
-	s.engine, err = engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: transport,
-		Source: watch.New(cfg.Discovery, set.MustSubscribe, log), Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
+	var source engine.Source = watch.New(cfg.Discovery, set.MustSubscribe, log)
+	if op.Members != nil {
+		if s.members, err = openMembers(op.Members, source, known, uint64(cfg.Seed), log); err != nil {
+			return nil, err
+		}
+		source = s.members
+	}
+	s.engine, err = engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: transport, Source: source, Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +110,9 @@
 // parts are what the admin endpoint shows.
 func (s *sidecar) parts() admin.Parts {
 	p := admin.Parts{"bounds": func() any { return s.bounds.State() }}
+	if s.members != nil {
+		p["members"] = func() any { return s.members.State() }
+	}
 	if s.guard != nil {
 		p["ledger"] = func() any { return s.guard.State() }
 	}
@@ -126,6 +138,9 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { s.pool.Sweep(work) })
 	parts.Go(func() { s.engine.Run(work) })
+	if s.members != nil {
+		parts.Go(func() { s.members.Run(work) })
+	}
 	parts.Go(func() { s.reloads(work, reload, again) })
 	if s.admin != nil {
 		parts.Go(func() { admin.Serve(work, s.admin, s.parts(), log) })
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 
+	"hazelwing/internal/engine"
 	"hazelwing/internal/membership/watch"
 	"hazelwing/internal/platform"
 )
@@ -25,6 +26,11 @@
 			continue
 		}
 		s.log.Info("discovery", "addr", cfg.Discovery)
-		s.engine.Move(watch.New(cfg.Discovery, s.asked, s.log))
+		var source engine.Source = watch.New(cfg.Discovery, s.asked, s.log)
+		if s.members != nil {
+			s.members.Move(source)
+			source = s.members
+		}
+		s.engine.Move(source)
 	}
 }
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"hazelwing/internal/operator"
@@ -62,7 +63,15 @@
 	r = &running{sidecar: s, url: "http://" + listener.Addr().String(),
 		client: &http.Client{Transport: &http.Transport{}, Timeout: fixture.Patience}}
 	ran := make(chan struct{})
-	go func() { s.engine.Run(ctx); close(ran) }()
+	go func() {
+		var parts sync.WaitGroup
+		if s.members != nil {
+			parts.Go(func() { s.members.Run(ctx) })
+		}
+		s.engine.Run(ctx)
+		parts.Wait()
+		close(ran)
+	}()
 	go s.front.Serve(ctx, listener, cfg.Limits.ClientConns(), quietLog)
 	return r, func() {
 		r.client.CloseIdleConnections()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -520,6 +520,10 @@
 	case n.watch != e.watch:
 		return // of a watch that another call has replaced
 	}
+	if n.Kind == balancer.Aside { // it came beside what the source follows, of which it says nothing
+		e.take(n.News)
+		return
+	}
 	e.seq = n.Seq
 	if n.Kind == balancer.Failed {
 		e.watch = nil
--- /dev/null
+++ b/internal/membership/merged/merged.go
@@ -0,0 +1,308 @@
+// Package merged puts the merge of sources (internal/membership) before the engine: one source of members, made of the
+// platform's discovery and of others beside it. What holds when they disagree is the merge's; here are the goroutine that asks
+// it, and who may call what.
+//
+// # Goroutines
+//
+// Run is the only one that touches the merge, and the only one that tells the engine. Watch and its stop leave a note for it and
+// return at once; the sources' own goroutines hand it events through a queue of queueLength, and wait there while it is full.
+package merged
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/membership"
+)
+
+// List is the name of the platform's discovery among the sources.
+const List = "list"
+
+const queueLength = 64
+
+// Beside is a source beside discovery. Run calls it once, in a goroutine of its own, and it returns soon after ctx ends. It calls
+// tell with each view and lost when what it told is too old, one call at a time; both may wait.
+type Beside struct {
+	membership.Source
+	Run func(ctx context.Context, tell func(membership.View), lost func(error))
+}
+
+// Config is what a Source is made of.
+type Config struct {
+	Discovery engine.Source
+	Beside    []Beside
+	Known     []engine.Member // the list that the engine was given as last held
+	// Most, Settle, Forget, Share and Window are the merge's.
+	Most           int
+	Settle, Forget time.Duration
+	Share          float64
+	Window         time.Duration
+	Now            func() time.Time // nil: the clock; a node that only a source beside discovery names is taken to have started then
+	Log            *slog.Logger
+}
+
+// Source is an engine.Source.
+type Source struct {
+	cfg    Config
+	merge  *membership.Merge
+	events chan event
+	notes  chan struct{} // there is a new wish
+
+	mu        sync.Mutex
+	wish      *wish
+	discovery engine.Source
+
+	// Run's own.
+	begun   time.Time
+	current *wish
+	stop    context.CancelFunc // of discovery's watch
+	seq     int64              // views told as discovery's
+	held    map[string]bool    // what discovery lists
+	spoke   map[string]bool    // sources beside it that have told a view
+	early   map[string]bool    // addresses in their first ones, Most for each source
+	waiting []engine.Member    // changes before anybody watches
+}
+
+// wish is one call of Watch.
+type wish struct {
+	seq    int64
+	pause  time.Duration
+	tell   func(engine.News)
+	ended  context.Context
+	source engine.Source
+}
+
+// event is one of a source's.
+type event struct {
+	wish *wish // news of discovery's watch for it; nil: of a source beside it
+	news engine.News
+	view membership.View
+	from string // lost
+	err  error
+	list chan<- []membership.Listed // who asks for the list; one place
+}
+
+// New makes a Source. Nothing is asked before Run and Watch.
+func New(c Config) (*Source, error) {
+	sources := []membership.Source{{Name: List, Rank: 0, Absent: true, Keep: c.Forget}}
+	for _, b := range c.Beside {
+		if b.Name == List {
+			return nil, fmt.Errorf("merged: %q is discovery's name", List)
+		}
+		sources = append(sources, b.Source)
+	}
+	m, err := membership.New(membership.Config{Sources: sources, Most: c.Most, Settle: c.Settle, Forget: c.Forget, Share: c.Share, Window: c.Window})
+	if err != nil {
+		return nil, err
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	s := &Source{cfg: c, merge: m, events: make(chan event, queueLength), notes: make(chan struct{}, 1), discovery: c.Discovery,
+		held: map[string]bool{}, spoke: map[string]bool{}, early: map[string]bool{}}
+	s.discovered(0, engine.News{Kind: balancer.Full, Members: c.Known}) // which the engine has
+	return s, nil
+}
+
+// Watch is discovery's, with what the others say beside it. See engine.Source.
+func (s *Source) Watch(seq int64, pause time.Duration, tell func(engine.News)) context.CancelFunc {
+	ctx, stop := context.WithCancel(context.Background())
+	s.mu.Lock()
+	s.wish = &wish{seq: seq, pause: pause, tell: tell, ended: ctx, source: s.discovery}
+	s.mu.Unlock()
+	select {
+	case s.notes <- struct{}{}:
+	default: // Run has one to read, and will find the latest wish
+	}
+	return stop
+}
+
+// Move lets discovery be another one, from the next Watch on. It may be called from any goroutine.
+func (s *Source) Move(discovery engine.Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.discovery = discovery
+}
+
+// stateTime is how long State waits for Run at most.
+const stateTime = time.Second
+
+// State is every node that a source lists or the list holds: in the list or not, why, by whom and since when. It may be called
+// from any goroutine, and is empty where Run does not answer.
+func (s *Source) State() []membership.Listed {
+	answer := make(chan []membership.Listed, 1)
+	late := time.After(stateTime)
+	select {
+	case s.events <- event{list: answer}:
+	case <-late:
+		return nil
+	}
+	select {
+	case list := <-answer:
+		return list
+	case <-late:
+		return nil
+	}
+}
+
+// Run asks all sources, and tells who watches what changes, until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	s.begun = time.Now()
+	var sources sync.WaitGroup
+	defer sources.Wait()
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	post := func(e event) {
+		select {
+		case s.events <- e:
+		case <-ctx.Done():
+		}
+	}
+	for _, b := range s.cfg.Beside {
+		sources.Go(func() {
+			b.Run(ctx, func(v membership.View) { v.Source = b.Name; post(event{view: v}) }, func(err error) { post(event{from: b.Name, err: err}) })
+		})
+	}
+	tick := time.NewTimer(time.Hour)
+	defer tick.Stop()
+	for {
+		var wake time.Duration
+		select {
+		case <-ctx.Done():
+			if s.stop != nil {
+				s.stop()
+			}
+			return
+		case <-s.notes:
+			s.follow(post)
+			continue
+		case <-tick.C:
+			changes, at := s.merge.Tick(s.now())
+			s.beside(changes)
+			wake = at
+		case e := <-s.events:
+			wake = s.handle(e)
+		}
+		if wake > 0 {
+			tick.Reset(max(0, wake-s.now()))
+		}
+	}
+}
+
+func (s *Source) now() time.Duration { return time.Since(s.begun) }
+
+// follow starts discovery's watch for the latest wish.
+func (s *Source) follow(post func(event)) {
+	s.mu.Lock()
+	w := s.wish
+	s.mu.Unlock()
+	if s.stop != nil {
+		s.stop()
+	}
+	s.current = w
+	s.stop = w.source.Watch(w.seq, w.pause, func(n engine.News) { post(event{wish: w, news: n}) })
+	context.AfterFunc(w.ended, s.stop)
+	if len(s.waiting) > 0 {
+		s.tell(engine.News{Kind: balancer.Aside, Members: s.waiting})
+		s.waiting = nil
+	}
+}
+
+// handle takes an event, and says when the merge is to be asked again; 0: not before the next one.
+func (s *Source) handle(e event) time.Duration {
+	switch {
+	case e.list != nil:
+		e.list <- s.merge.List(s.now())
+		return 0
+	case e.wish != nil && e.wish != s.current:
+		return 0 // of a watch that has been replaced
+	case e.wish != nil && e.news.Kind == balancer.Failed:
+		changes, at := s.merge.Lost(s.now(), List)
+		s.beside(changes)
+		s.tell(e.news)
+		return at
+	case e.wish != nil:
+		changes, at := s.discovered(s.now(), e.news)
+		s.tell(engine.News{Kind: balancer.Change, Seq: e.news.Seq, Members: s.members(changes)})
+		return at
+	case e.from != "":
+		s.cfg.Log.Warn("a source of members is lost", "source", e.from, "err", e.err)
+		changes, at := s.merge.Lost(s.now(), e.from)
+		s.beside(changes)
+		return at
+	}
+	if !s.spoke[e.view.Source] {
+		s.spoke[e.view.Source] = true
+		for _, x := range e.view.Entries[:min(len(e.view.Entries), s.cfg.Most)] {
+			s.early[x.Addr] = true
+		}
+	}
+	changes, at := s.merge.Tell(s.now(), e.view)
+	s.beside(changes)
+	return at
+}
+
+// discovered hands the merge what discovery says. What a whole list of it lacks is gone, as on the platform: it is said, not
+// merely absent, or the merge might hold it.
+func (s *Source) discovered(now time.Duration, n engine.News) ([]membership.Change, time.Duration) {
+	s.seq++
+	v := membership.View{Source: List, Seq: s.seq, Whole: n.Kind == balancer.Full}
+	there := map[string]bool{}
+	for _, m := range n.Members {
+		there[m.ID] = true
+		v.Entries = append(v.Entries, membership.Entry{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State, BornMS: m.BornMS})
+		if delete(s.held, m.ID); m.State == balancer.Active {
+			s.held[m.ID] = true
+		}
+	}
+	if v.Whole {
+		for _, id := range slices.Sorted(maps.Keys(s.held)) {
+			if !there[id] {
+				v.Entries = append(v.Entries, membership.Entry{ID: id, State: balancer.Left})
+				delete(s.held, id)
+			}
+		}
+	}
+	return s.merge.Tell(now, v)
+}
+
+// beside tells what changed by the word of others than discovery: no sign that discovery is followed.
+func (s *Source) beside(changes []membership.Change) {
+	if members := s.members(changes); len(members) > 0 {
+		s.tell(engine.News{Kind: balancer.Aside, Members: members})
+	}
+}
+
+// tell hands news to who watches.
+func (s *Source) tell(n engine.News) {
+	if s.current == nil {
+		s.waiting = append(s.waiting, n.Members...)
+		return
+	}
+	if s.current.ended.Err() == nil {
+		s.current.tell(n)
+	}
+}
+
+// members are changes as the engine knows them. A node that nobody but a source beside discovery names, and that was not in that
+// source's first view, is taken to have started now. Guards against a cold node that is taken for a warm one: a name service does
+// not tell when a process started, and may well be the first that knows of it.
+func (s *Source) members(changes []membership.Change) []engine.Member {
+	var list []engine.Member
+	for _, c := range changes {
+		m := c.Member
+		s.cfg.Log.Info("member", "id", m.ID, "addr", m.Addr, "in", m.State == balancer.Active, "why", c.Why)
+		if m.State == balancer.Active && m.BornMS == 0 && !s.held[m.ID] && !s.early[m.Addr] {
+			m.BornMS = float64(s.cfg.Now().UnixMilli())
+		}
+		list = append(list, engine.Member{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State, BornMS: m.BornMS})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/membership/merged/merged_test.go
@@ -0,0 +1,227 @@
+package merged
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/membership"
+	"hazelwing/internal/standin/fixture"
+)
+
+// discovery is a stand-in for the platform's: the test tells what a watch brings.
+type discovery struct{ watches chan *call }
+
+type call struct {
+	seq  int64
+	tell func(engine.News)
+	ctx  context.Context
+}
+
+func newDiscovery() *discovery { return &discovery{make(chan *call, 10)} }
+
+func (d *discovery) Watch(seq int64, _ time.Duration, tell func(engine.News)) context.CancelFunc {
+	ctx, stop := context.WithCancel(context.Background())
+	d.watches <- &call{seq, tell, ctx}
+	return stop
+}
+
+// rig is a Source that runs, with one source beside discovery, and what it tells.
+type rig struct {
+	*Source
+	t     *testing.T
+	list  *discovery
+	watch *call
+	srv   chan any // views, and errors: it is lost
+	news  chan engine.News
+}
+
+const now = 1_700_000_000_000
+
+// start runs one that knows these members, and is watched.
+func start(t *testing.T, settle time.Duration, known ...string) *rig {
+	t.Helper()
+	r := &rig{t: t, list: newDiscovery(), srv: make(chan any), news: make(chan engine.News, 100)}
+	s, err := New(Config{Discovery: r.list, Known: members(known...), Most: 100, Settle: settle, Forget: time.Hour, Share: 0.5, Window: time.Minute,
+		Now: func() time.Time { return time.UnixMilli(now) }, Log: slog.New(slog.DiscardHandler),
+		Beside: []Beside{{Source: membership.Source{Name: "srv", Rank: 1, Keep: time.Hour}, Run: func(ctx context.Context, tell func(membership.View), lost func(error)) {
+			for n := int64(1); ; n++ {
+				select {
+				case x := <-r.srv:
+					if err, ok := x.(error); ok {
+						lost(err)
+						continue
+					}
+					v := x.(membership.View)
+					v.Seq = n
+					tell(v)
+				case <-ctx.Done():
+					return
+				}
+			}
+		}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Source = s
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() { s.Run(ctx); close(ended) }()
+	t.Cleanup(func() { stop(); fixture.Receive(t, ended, "its end") })
+	s.Watch(7, 0, func(n engine.News) { r.news <- n })
+	r.watch = fixture.Receive(t, r.list.watches, "discovery's watch")
+	return r
+}
+
+// members reads "a" as a member a at x:a, "-a" as one that drains.
+func members(names ...string) (list []engine.Member) {
+	for _, n := range names {
+		m := engine.Member{ID: strings.TrimPrefix(n, "-"), Zone: "z"}
+		m.Addr = "x:" + m.ID
+		if m.ID != n {
+			m.State = balancer.Leaving
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// addresses are a view of the name service's.
+func addresses(names ...string) membership.View {
+	v := membership.View{Whole: true}
+	for _, n := range names {
+		v.Entries = append(v.Entries, membership.Entry{Addr: "x:" + n})
+	}
+	return v
+}
+
+func (r *rig) says(kind balancer.MembersKind, seq int64, names ...string) {
+	r.watch.tell(engine.News{Kind: kind, Seq: seq, Members: members(names...)})
+}
+
+// want receives news, and compares it with "kind seq: members".
+func (r *rig) want(text string) engine.News {
+	r.t.Helper()
+	n := fixture.Receive(r.t, r.news, "news: "+text)
+	kinds := map[balancer.MembersKind]string{balancer.Change: "change", balancer.Aside: "aside", balancer.Failed: "failed"}
+	got := fmt.Sprintf("%s %d:", kinds[n.Kind], n.Seq)
+	for _, m := range n.Members {
+		sign := " "
+		if m.State != balancer.Active {
+			sign = " -"
+		}
+		got += sign + m.ID
+	}
+	if got != text {
+		r.t.Fatalf("told %q, want %q", got, text)
+	}
+	return n
+}
+
+// The list says that a node drains, and the name service lists it on: it leaves at once, and does not come back by that.
+func TestLeavingWins(t *testing.T) {
+	r := start(t, 0, "a", "b", "c")
+	r.says(balancer.Change, 8)
+	r.want("change 8:")
+	r.srv <- addresses("a", "b", "c")
+	r.says(balancer.Change, 9, "-b")
+	r.want("change 9: -b")
+	r.srv <- addresses("b", "a", "c")
+	r.srv <- addresses("a", "b", "c", "d")
+	r.want("aside 0: addr x:d")
+}
+
+// A whole list lacks most of what was known: that is told whole and at once, however much it is, unlike what a name service
+// merely no longer lists.
+func TestWholeListOfDiscovery(t *testing.T) {
+	r := start(t, 0, "a", "b", "c", "d")
+	r.says(balancer.Full, 12, "d", "e")
+	r.want("change 12: -a -b -c e")
+	r.says(balancer.Full, 13)
+	r.want("change 13: -d -e")
+}
+
+// A node that only the name service names, and did not in its first view, may just have started.
+func TestNewAddressCountsAsStartedNow(t *testing.T) {
+	r := start(t, 0)
+	r.srv <- addresses("a")
+	if n := r.want("aside 0: addr x:a"); n.Members[0].BornMS != 0 {
+		t.Errorf("one of the first view is taken to have started at %v", n.Members[0].BornMS)
+	}
+	r.srv <- addresses("a", "b")
+	if n := r.want("aside 0: addr x:b"); n.Members[0].BornMS != now {
+		t.Errorf("a new one is taken to have started at %v", n.Members[0].BornMS)
+	}
+	r.says(balancer.Full, 3, "b") // the list names it: one node, which has its name from now on
+	if n := r.want("change 3: -addr x:b b"); n.Members[1].BornMS != 0 {
+		t.Errorf("what the list names has the list's start: %v", n.Members[1].BornMS)
+	}
+}
+
+// Discovery fails: the engine hears it and asks again, on the version that it had; the others go on, also while nobody watches.
+func TestDiscoveryFails(t *testing.T) {
+	r := start(t, 0, "a")
+	r.says(balancer.Change, 8)
+	r.want("change 8:")
+	r.watch.tell(engine.News{Kind: balancer.Failed, Seq: 8, Err: errors.New("503")})
+	r.want("failed 8:")
+	r.srv <- addresses("a", "b")
+	r.want("aside 0: addr x:b")
+	r.srv <- errors.New("time-out")
+	other := newDiscovery()
+	r.Move(other)
+	stop := r.Watch(engine.OtherVersion, 0, func(n engine.News) { r.news <- n })
+	r.watch = fixture.Receive(t, other.watches, "the new discovery's watch")
+	if r.watch.seq != engine.OtherVersion {
+		t.Errorf("it goes on from %d", r.watch.seq)
+	}
+	r.says(balancer.Change, 2, "-a")
+	r.want("change 2: -a")
+	stop()
+	fixture.Until(t, "the watch's end", func() bool { return r.watch.ctx.Err() != nil })
+	r.says(balancer.Change, 3, "f")
+	r.srv <- addresses("g")
+	select {
+	case n := <-r.news:
+		t.Errorf("told %+v after the end", n)
+	case <-time.After(10 * time.Millisecond):
+	}
+}
+
+// Additions are handed out at most once in Settle, leavings at once.
+func TestAdditionsSettle(t *testing.T) {
+	r := start(t, time.Hour, "a", "b")
+	r.srv <- addresses("a", "c")
+	r.says(balancer.Change, 8, "-b")
+	r.want("change 8: -b")
+	select {
+	case n := <-r.news:
+		t.Errorf("an addition within Settle of the last: %+v", n)
+	case <-time.After(10 * time.Millisecond):
+	}
+	r = start(t, 20*time.Millisecond, "a")
+	r.srv <- addresses("a", "c")
+	r.want("aside 0: addr x:c") // by itself, once Settle has passed
+}
+
+// What cannot be is an error that says so.
+func TestNewRefuses(t *testing.T) {
+	good := Config{Most: 1, Forget: 1, Share: 1, Window: 1}
+	for want, c := range map[string]Config{
+		`"list" is discovery's name`: {Most: 1, Forget: 1, Share: 1, Window: 1, Beside: []Beside{{Source: membership.Source{Name: List}}}},
+		"a share above 0":            {Most: 1, Forget: 1, Window: 1},
+	} {
+		if _, err := New(c); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+	if _, err := New(good); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,7 @@
 	Ledger  *Ledger  `toml:"ledger"`
 	Admin   *Admin   `toml:"admin"`
 	GraphQL *GraphQL `toml:"graphql"`
+	Members *Members `toml:"members"`
 
 	path  string
 	where map[string]unstable.Position
@@ -187,6 +188,9 @@
 	if g := c.GraphQL; g != nil {
 		g.check(fault)
 	}
+	if m := c.Members; m != nil {
+		m.check(fault)
+	}
 	if a := c.Admin; a != nil {
 		at, err := netip.ParseAddrPort(a.Listen)
 		switch {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -35,6 +35,7 @@
 func TestFaults(t *testing.T) {
 	const ok = "[ledger]\ndir = \"/x\"\n"
 	const gql = "[graphql]\nlisten = \"127.0.0.1:1\"\nschema = \"/s\"\n"
+	const srv = "[members]\n[members.srv]\nname = \"_a._tcp.b\"\nservers = [\"10.0.0.2:53\"]\n"
 	for text, want := range map[string]string{
 		"[ledgr]\ndir = \"/x\"\n":                               "1:2: no such key: ledgr",
 		"[graphql]\nschema = \"/s\"\n":                          "1:2: graphql.listen: \"\" is no address",
@@ -67,10 +68,19 @@
 		"[admin]\nlisten = \"0.0.0.0:80\"":                      "2:1: admin.listen: 0.0.0.0:80 is not on loopback",
 		"[admin]\nlisten = \"localhost\"":                       "2:1: admin.listen: \"localhost\" is no address",
 		"[admin]\nlisten = \"127.0.0.1:1\"\nlisten = \"again\"": "3:",
-		"admin = 1":                              "1:9: ",
-		"[ledger":                                "1:",
-		"\xff\xfe":                               "1:",
-		ok + "[ledger.dir]\nx = 1\n[[ledger]]\n": "",
+		"[members]\n":                                           "1:2: members: no source",
+		srv + "tries = 9":                                       "5:1: members.srv.tries: 9 is not from 1 to 5",
+		srv + "min_ttl = \"9m\"":                                "members.srv.max_ttl: 5m0s is below min_ttl, 9m0s",
+		srv + "spread = \"2m\"":                                 "5:1: members.srv.spread: 2m0s is not from 0 to 1m",
+		srv + "ttl = 3":                                         "5:1: no such key: members.srv.ttl",
+		"[members]\nshare = 1.5\nmost = -1\nsettle = \"1us\"\n[members.srv]\nname = \"booking\"\nservers = [\"dns\"]": "2:1: members.share: 1.5 is not above 0 and up to 1",
+		"[members.srv]\nname = \"booking\"\nservers = [\"10.0.0.2:53\"]":                                              "2:1: members.srv.name: \"booking\" is no service's name",
+		"[members.srv]\nname = \"_a._tcp.b\"\nservers = [\"dns\"]":                                                    "3:1: members.srv.servers: \"dns\" is no address",
+		"[members.srv]\nname = \"_a._tcp.b\"":                                                                         "members.srv.servers: one to eight",
+		"admin = 1":                                                                                                   "1:9: ",
+		"[ledger":                                                                                                     "1:",
+		"\xff\xfe":                                                                                                    "1:",
+		ok + "[ledger.dir]\nx = 1\n[[ledger]]\n":                                                                      "",
 	} {
 		c, err := Parse([]byte(text))
 		if err == nil || !strings.Contains(err.Error(), want) {
