--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -60,7 +60,7 @@
 	coldPart     = 0.85             // share used of what pushes a cold upstream over
 	coldKind     = 1.5              // times that at most for kinds faster than the mean; less for slower ones
 	coldSubset   = 0.8              // of that, what sidecars may send in whose subset it is
-	subsetHome   = 0.75             // of a subset, where crossings cost: the pair at home is a good one
+	subsetHome   = 0.85             // of a subset, where crossings cost and hardly weigh in the pick
 	homeSkew     = 1.3              // times the mean that a zone's traffic may be: nobody tells
 	askBase      = time.Second / 2  // first wait before asking for the list again; doubles
 	askMax       = 2 * time.Second
@@ -420,8 +420,9 @@
 // get a request each in a while, ejected ones not counted. Guards against estimates that are always stale.
 // It acts where the list is longer, sidecars are many (the subsets of few load upstreams unevenly) and probes
 // not cheap (those tell anew each time). What has a key or finds none ready in the subset draws from all.
-// Where crossings cost, most of it is from home, as far as there are so many: a subset of all zones holds two
-// or three there, of which the better is often worse than the better of the far ones.
+// Where crossings cost, a part of it is from home first, the larger the less a crossing weighs in the pick: a
+// subset of all zones holds two or three there, of which the better is often worse than the better of the far
+// ones. Where the pick itself keeps to home, few far ones would leave it nowhere to go.
 func (b *Balancer) choose() {
 	b.chosen = b.now
 	all := b.asks() && b.cheap() || b.set.Balancers < fewBalancers
@@ -442,7 +443,7 @@
 		}
 	}
 	if b.crossing() > 0 {
-		take(int(math.Ceil(subsetHome*float64(n))), func(u *upstream) bool {
+		take(int(math.Round(subsetHome*(1-b.crossWeight())*float64(n))), func(u *upstream) bool {
 			return u.zone == b.set.Zone && b.now >= u.until
 		})
 	}
@@ -475,9 +476,12 @@
 	if cross < b.fleet/4 {
 		return 0
 	}
-	return cross * min(1, crossFleet/float64(b.set.Balancers))
+	return cross * b.crossWeight()
 }
 
+// crossWeight is what a crossing weighs in a fleet of this size, of what it weighs in a small one.
+func (b *Balancer) crossWeight() float64 { return min(1, crossFleet/max(1, float64(b.set.Balancers))) }
+
 // twoChoices is the design's pick: the lower load of two distinct random upstreams. A pair asked for its
 // load was drawn before; one of them that keeps silent counts as the higher.
 func (b *Balancer) twoChoices(r *request, ok func(*upstream) bool) *upstream {
