Read once more: one way to bound settings, one loop of requests, no zones counted in vain

The change wrote again what was there: defaults and bounds of settings stood in three files of the operator's (bounded and number now), the request loop of two benchmarks, and the text of a test's configuration three times. choose() built a map of zones each time, also where no subset is settled and no crossing has a price: it counts them where they are used. The merged source kept changes without a bound until somebody watched; it asks the others from the first watch on, and keeps none. A closure around a method and a division's guard that did nothing are gone.

No expectation of a test is changed.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -82,6 +82,7 @@
 	}
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
 		ups: map[string]*upstream{}, reqs: map[string]*request{}, kinds: map[string]*float64{},
+		zones:   map[string]int{},
 		tenants: make([]rate, len(s.Tenants)), limit: limitMax, trust: trustMax, retries: retryBurst,
 		servedSlow: rate{memory: slowMemory}, handMean: rate{memory: slowMemory},
 		offered: rate{memory: rateMemory}, served: rate{memory: servedMemory}}
@@ -426,10 +427,8 @@
 func (b *Balancer) choose() {
 	b.chosen = b.now
 	all := b.asks() && b.cheap() || b.set.Balancers < fewBalancers
-	b.zones = map[string]int{}
 	for _, u := range b.list {
 		u.chosen = all
-		b.zones[u.zone]++
 	}
 	if b.subset = len(b.list); all {
 		return
@@ -442,7 +441,11 @@
 			b.subset++
 		}
 	}
+	clear(b.zones)
 	if b.crossing() > 0 {
+		for _, u := range b.list {
+			b.zones[u.zone]++
+		}
 		take(int(math.Round(subsetHome*(1-b.crossWeight())*float64(n))), func(u *upstream) bool {
 			return u.zone == b.set.Zone && b.now >= u.until
 		})
@@ -480,7 +483,7 @@
 }
 
 // crossWeight is what a crossing weighs in a fleet of this size, of what it weighs in a small one.
-func (b *Balancer) crossWeight() float64 { return min(1, crossFleet/max(1, float64(b.set.Balancers))) }
+func (b *Balancer) crossWeight() float64 { return min(1, crossFleet/float64(b.set.Balancers)) }
 
 // twoChoices is the design's pick: the lower load of two distinct random upstreams. A pair asked for its
 // load was drawn before; one of them that keeps silent counts as the higher.
--- a/balancer/bench_test.go
+++ b/balancer/bench_test.go
@@ -4,8 +4,28 @@
 	"fmt"
 	"strconv"
 	"testing"
+	"time"
 )
 
+// serve measures requests that come gap after the last answer and are answered gap after that.
+func serve(b *testing.B, bal *Balancer, now, gap time.Duration) {
+	var acts []Action
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := strconv.Itoa(i)
+		now += gap
+		acts = bal.Handle(now, Request{ID: id, Class: "c", Expires: now + 1000*ms}, acts[:0])
+		if n := len(kinds(acts, Send)); n != 1 {
+			b.Fatalf("%d attempts for request %d", n, i)
+		}
+		now += gap
+		acts = bal.Handle(now, Outcome{ID: id, Result: OK, Elapsed: gap, Finished: true}, acts[:0])
+		if len(acts) > 0 && acts[0].Kind == SetTimer {
+			acts = bal.Handle(acts[0].At, Wake{}, acts[:0])
+		}
+	}
+}
+
 // BenchmarkHandle is what the decisions of one served request cost: its arrival and its outcome.
 //
 //	go test ./balancer -run '^$' -bench Handle -benchmem -count 6
@@ -20,22 +40,8 @@
 			for i := range members {
 				list = append(list, Member{Upstream: "u" + strconv.Itoa(i), Zone: "a"})
 			}
-			acts := bal.Handle(now, Members{Kind: Full, Entries: list}, nil)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				id := strconv.Itoa(i)
-				now += ms
-				acts = bal.Handle(now, Request{ID: id, Class: "c", Expires: now + 1000*ms}, acts[:0])
-				sent := kinds(acts, Send)
-				if len(sent) != 1 {
-					b.Fatalf("%d attempts for request %d", len(sent), i)
-				}
-				now += ms
-				acts = bal.Handle(now, Outcome{ID: id, Result: OK, Elapsed: ms, Finished: true}, acts[:0])
-				if len(acts) > 0 && acts[0].Kind == SetTimer {
-					acts = bal.Handle(acts[0].At, Wake{}, acts[:0])
-				}
-			}
+			bal.Handle(now, Members{Kind: Full, Entries: list}, nil)
+			serve(b, bal, now, ms)
 		})
 	}
 }
@@ -63,22 +69,7 @@
 	for _, members := range []int{60, 300, 1000} {
 		b.Run(fmt.Sprintf("request/%d", members), func(b *testing.B) {
 			bal, _ := zoned(b, members)
-			now := 60 * 1000 * ms
-			var acts []Action
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				id := strconv.Itoa(i)
-				now += 20 * ms // quiet, as most are
-				acts = bal.Handle(now, Request{ID: id, Class: "c", Expires: now + 1000*ms}, acts[:0])
-				if n := len(kinds(acts, Send)); n != 1 {
-					b.Fatalf("%d attempts for request %d", n, i)
-				}
-				now += 20 * ms
-				acts = bal.Handle(now, Outcome{ID: id, Result: OK, Elapsed: 20 * ms, Finished: true}, acts[:0])
-				if len(acts) > 0 && acts[0].Kind == SetTimer {
-					acts = bal.Handle(acts[0].At, Wake{}, acts[:0])
-				}
-			}
+			serve(b, bal, 60*1000*ms, 20*ms) // quiet, as most are
 		})
 		b.Run(fmt.Sprintf("change/%d", members), func(b *testing.B) {
 			bal, list := zoned(b, members)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -125,7 +125,7 @@
 	trust                float64        // share of requests admitted after misses; above 1: all
 	self                 uint64         // gives the order of its subset
 	subset, fromHome     int            // upstreams that are in it, and those taken for being at home
-	zones                map[string]int // upstreams of each zone
+	zones                map[string]int // upstreams of each zone, where fromHome counts
 	chosen               time.Duration  // when the subset was last settled
 	handAt               time.Duration  // when inHand last changed
 	offered              rate           // arriving work, in mean requests a second
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,7 +75,8 @@
 		}
 		source = s.members
 	}
-	s.engine, err = engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: transport, Source: source, Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
+	s.engine, err = engine.New(engine.Config{Settings: set, Seed: uint64(cfg.Seed), Transport: transport, Source: source,
+		Known: engine.News{Seq: cfg.Known.Seq, Members: known}, Log: log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/deploy_test.go
+++ b/internal/daemon/deploy_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -99,7 +98,7 @@
 	if !withList {
 		discovery, list = fixture.NoAddr, nil
 	}
-	r, stop := run(t, loadText(t, strings.NewReplacer(known(list)...).Replace(fmt.Sprintf(fixture.Config, discovery, fixture.NoAddr))), op)
+	r, stop := run(t, config(t, discovery, fixture.NoAddr, known(list)...), op)
 	defer stop()
 
 	var all sync.WaitGroup
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"time"
@@ -31,7 +30,7 @@
 			MinTTL: time.Duration(s.MinTTL), MaxTTL: time.Duration(s.MaxTTL), Most: int(op.Most), Addresses: srvAddresses, Within: s.Within, Public: !s.Private}}
 		source := &dns.Source{Name: s.Name, Lookup: resolver.SRV, Refresh: r, Log: log}
 		c.Beside = append(c.Beside, merged.Beside{Source: membership.Source{Name: srvName, Rank: 1, Keep: time.Duration(s.Keep)},
-			Run: func(ctx context.Context, tell func(membership.View), lost func(error)) { source.Run(ctx, tell, lost) }})
+			Run: source.Run})
 	}
 	return merged.New(c)
 }
--- a/internal/daemon/members_test.go
+++ b/internal/daemon/members_test.go
@@ -71,8 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := loadText(t, fmt.Sprintf(fixture.Config, d.Addr(), fixture.NoAddr))
-	r, stop := run(t, cfg, op)
+	r, stop := run(t, config(t, d.Addr(), fixture.NoAddr), op)
 	defer stop()
 	n := 0
 	ask := func() bool { // refused is as good: a node that may just have started is spared
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -39,11 +39,16 @@
 	return cfg
 }
 
-// startSidecar starts one; change is pairs of old and new text of its configuration.
+// config is fixture.Config; change is pairs of old and new text of it.
+func config(t *testing.T, discovery, upstream string, change ...string) *platform.Config {
+	t.Helper()
+	return loadText(t, strings.NewReplacer(change...).Replace(fmt.Sprintf(fixture.Config, discovery, upstream)))
+}
+
+// startSidecar starts one; change is as config's.
 func startSidecar(t *testing.T, discovery, upstream string, change ...string) *running {
 	t.Helper()
-	cfg := loadText(t, strings.NewReplacer(change...).Replace(fmt.Sprintf(fixture.Config, discovery, upstream)))
-	r, stop := run(t, cfg, new(operator.Config))
+	r, stop := run(t, config(t, discovery, upstream, change...), new(operator.Config))
 	t.Cleanup(stop)
 	return r
 }
--- a/internal/daemon/start_test.go
+++ b/internal/daemon/start_test.go
@@ -181,7 +181,7 @@
 		for i := range list {
 			list[i] = entry(fmt.Sprint("s-", i), fmt.Sprintf("10.1.%d.%d:8081", i/250, i%250))
 		}
-		cfg := loadText(t, strings.NewReplacer(known(list)...).Replace(fmt.Sprintf(fixture.Config, fixture.NoAddr, fixture.NoAddr)))
+		cfg := config(t, fixture.NoAddr, fixture.NoAddr, known(list)...)
 		before := heap()
 		r, stop := run(t, cfg, new(operator.Config))
 		r.do(t, r.request(t, "GET", "look", "1", "")) // the list is in once this is answered
--- a/internal/membership/dns/refresh.go
+++ b/internal/membership/dns/refresh.go
@@ -64,7 +64,7 @@
 	if c.Source == "" || c.Stale < 0 || c.RetryLeast < 0 || c.RetryMost < c.RetryLeast || c.Spread < 0 {
 		return nil, fmt.Errorf("dns: a source's name, times not below 0, and a longest wait not below the first are wanted")
 	}
-	return &Refresh{cfg: c, rng: rand.New(rand.NewPCG(seed, 0xd45)), seq: 0}, nil
+	return &Refresh{cfg: c, rng: rand.New(rand.NewPCG(seed, 0xd45))}, nil
 }
 
 // Start is the first event.
--- a/internal/membership/merged/merged.go
+++ b/internal/membership/merged/merged.go
@@ -67,7 +67,6 @@
 	held    map[string]bool    // what discovery lists
 	spoke   map[string]bool    // sources beside it that have told a view
 	early   map[string]bool    // addresses in their first ones, Most for each source
-	waiting []engine.Member    // changes before anybody watches
 }
 
 // wish is one call of Watch.
@@ -152,7 +151,8 @@
 	}
 }
 
-// Run asks all sources, and tells who watches what changes, until ctx ends.
+// Run asks all sources, and tells who watches what changes, until ctx ends. The sources beside discovery are asked from the first
+// Watch on: before, nobody could be told.
 func (s *Source) Run(ctx context.Context) {
 	s.begun = time.Now()
 	var sources sync.WaitGroup
@@ -165,6 +165,12 @@
 		case <-ctx.Done():
 		}
 	}
+	select {
+	case <-s.notes:
+		s.follow(post)
+	case <-ctx.Done():
+		return
+	}
 	for _, b := range s.cfg.Beside {
 		sources.Go(func() {
 			b.Run(ctx, func(v membership.View) { v.Source = b.Name; post(event{view: v}) }, func(err error) { post(event{from: b.Name, err: err}) })
@@ -176,9 +182,7 @@
 		var wake time.Duration
 		select {
 		case <-ctx.Done():
-			if s.stop != nil {
-				s.stop()
-			}
+			s.stop()
 			return
 		case <-s.notes:
 			s.follow(post)
@@ -209,10 +213,6 @@
 	s.current = w
 	s.stop = w.source.Watch(w.seq, w.pause, func(n engine.News) { post(event{wish: w, news: n}) })
 	context.AfterFunc(w.ended, s.stop)
-	if len(s.waiting) > 0 {
-		s.tell(engine.News{Kind: balancer.Aside, Members: s.waiting})
-		s.waiting = nil
-	}
 }
 
 // handle takes an event, and says when the merge is to be asked again; 0: not before the next one.
@@ -282,10 +282,6 @@
 
 // tell hands news to who watches.
 func (s *Source) tell(n engine.News) {
-	if s.current == nil {
-		s.waiting = append(s.waiting, n.Members...)
-		return
-	}
 	if s.current.ended.Err() == nil {
 		s.current.tell(n)
 	}
--- a/internal/membership/watch/course.go
+++ b/internal/membership/watch/course.go
@@ -85,8 +85,8 @@
 	return []engine.News{*n}
 }
 
-// begin plans the call for the whole list, beside the first line. Guards against a discovery to which version 0 is a list like others: its
-// first line tells what changed since, which alone is of little use to who does not hold that.
+// begin plans the call for the whole list, beside the first line. Guards against a discovery to which version 0 is a list
+// like others: its first line tells what changed since, which alone is of little use to who does not hold that.
 func (c *course) begin(now time.Duration) {
 	if c.at = now; c.patient {
 		c.at += c.wait()
--- a/internal/operator/graphql.go
+++ b/internal/operator/graphql.go
@@ -66,10 +66,7 @@
 	if g.OnlyTrusted && (g.Trusted == "" || g.Persisted) {
 		fault("graphql.only_trusted", "goes with trusted, and without persisted")
 	}
-	g.Deadline = cmp.Or(g.Deadline, strict.Duration(10*time.Second))
-	if d := time.Duration(g.Deadline); d < 10*time.Millisecond || d > 10*time.Minute {
-		fault("graphql.deadline", "%v is not from 10ms to 10m", d)
-	}
+	bounded(fault, "graphql.deadline", &g.Deadline, 10*time.Second, 10*time.Millisecond, 10*time.Minute)
 	g.MaxBody, g.MaxDocument = cmp.Or(g.MaxBody, 256<<10), cmp.Or(g.MaxDocument, 64<<10)
 	if g.MaxBody < 1<<10 || g.MaxBody > 16<<20 {
 		fault("graphql.max_body", "%v is not from 1KiB to 16MiB", g.MaxBody)
@@ -87,8 +84,6 @@
 		{"max_aliases", &g.MaxAliases, 100, 1, 10_000}, {"max_roots", &g.MaxRoots, 30, 1, 1000}, {"max_fields", &g.MaxFields, 2000, 1, 1_000_000},
 		{"max_cost", &g.MaxCost, 100, 1, 1_000_000},
 	} {
-		if *n.v = cmp.Or(*n.v, n.def); *n.v < n.least || *n.v > n.most {
-			fault("graphql."+n.key, "%d is not from %d to %d", *n.v, n.least, n.most)
-		}
+		number(fault, "graphql."+n.key, n.v, n.def, n.least, n.most)
 	}
 }
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -33,16 +33,6 @@
 	Private bool            `toml:"private"` // loopback, link-local and other addresses that no name service should give are taken
 }
 
-// bounded sets a duration's default, and tells where it is not within its bounds.
-func bounded(fault func(key, format string, args ...any), key string, d *strict.Duration, to, least, most time.Duration) {
-	if *d == 0 {
-		*d = strict.Duration(to)
-	}
-	if x := time.Duration(*d); x < least || x > most {
-		fault(key, "%v is not from %v to %v", x, least, most)
-	}
-}
-
 // check fills in the defaults and tells what cannot be used.
 func (m *Members) check(fault func(key, format string, args ...any)) {
 	bounded(fault, "members.settle", &m.Settle, 250*time.Millisecond, time.Millisecond, time.Minute)
@@ -54,12 +44,7 @@
 	if !(m.Share > 0 && m.Share <= 1) {
 		fault("members.share", "%v is not above 0 and up to 1", m.Share)
 	}
-	if m.Most == 0 {
-		m.Most = 10_000
-	}
-	if m.Most < 1 || m.Most > 100_000 {
-		fault("members.most", "%v is not from 1 to 100000", m.Most)
-	}
+	number(fault, "members.most", &m.Most, 10_000, 1, 100_000)
 	if m.SRV == nil {
 		fault("members", "no source: [members.srv] is one")
 		return
@@ -79,12 +64,7 @@
 			fault("members.srv.servers", "%q is no address such as \"10.0.0.2:53\"", at)
 		}
 	}
-	if s.Tries == 0 {
-		s.Tries = 2
-	}
-	if s.Tries < 1 || s.Tries > 5 {
-		fault("members.srv.tries", "%v is not from 1 to 5", s.Tries)
-	}
+	number(fault, "members.srv.tries", &s.Tries, 2, 1, 5)
 	bounded(fault, "members.srv.timeout", &s.Timeout, 500*time.Millisecond, 10*time.Millisecond, 10*time.Second)
 	bounded(fault, "members.srv.min_ttl", &s.MinTTL, time.Second, 100*time.Millisecond, time.Hour)
 	bounded(fault, "members.srv.max_ttl", &s.MaxTTL, 5*time.Minute, 100*time.Millisecond, 24*time.Hour)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,6 +4,7 @@
 package operator
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -202,12 +203,22 @@
 	}
 }
 
-func (l *Ledger) check(fault func(key, format string, args ...any)) {
-	def := func(d *strict.Duration, to time.Duration) {
-		if *d == 0 {
-			*d = strict.Duration(to)
-		}
+// bounded sets a duration's default, and tells where it is not within its bounds.
+func bounded(fault func(key, format string, args ...any), key string, d *strict.Duration, to, least, most time.Duration) {
+	*d = cmp.Or(*d, strict.Duration(to))
+	if x := time.Duration(*d); x < least || x > most {
+		fault(key, "%v is not from %v to %v", x, least, most)
+	}
+}
+
+// number does the same for a number.
+func number(fault func(key, format string, args ...any), key string, n *int64, to, least, most int64) {
+	if *n = cmp.Or(*n, to); *n < least || *n > most {
+		fault(key, "%d is not from %d to %d", *n, least, most)
 	}
+}
+
+func (l *Ledger) check(fault func(key, format string, args ...any)) {
 	between := func(key string, v, least, most any, ok bool) {
 		if !ok {
 			fault(key, "%v is not from %v to %v", v, least, most)
@@ -236,21 +247,15 @@
 	if l.SyncEvery != 0 && l.Durable != guard.Batch {
 		fault("ledger.sync_every", "goes with durable = \"batch\"")
 	}
-	def(&l.SyncEvery, defaultSync)
-	def(&l.Remember, defaultRemember)
-	if l.MaxEntries == 0 {
-		l.MaxEntries = defaultEntries
-	}
 	if l.SegmentSize == 0 {
 		l.SegmentSize = defaultSegment
 	}
 	if l.MaxSize == 0 {
 		l.MaxSize = max(defaultMax, leastSegments*l.SegmentSize)
 	}
-	d, r := time.Duration(l.SyncEvery), time.Duration(l.Remember)
-	between("ledger.sync_every", d, time.Millisecond, mostSync, d >= time.Millisecond && d <= mostSync)
-	between("ledger.remember", r, leastRemember, mostRemember, r >= leastRemember && r <= mostRemember)
-	between("ledger.max_entries", l.MaxEntries, leastEntries, mostEntries, l.MaxEntries >= leastEntries && l.MaxEntries <= mostEntries)
+	bounded(fault, "ledger.sync_every", &l.SyncEvery, defaultSync, time.Millisecond, mostSync)
+	bounded(fault, "ledger.remember", &l.Remember, defaultRemember, leastRemember, mostRemember)
+	number(fault, "ledger.max_entries", &l.MaxEntries, defaultEntries, leastEntries, mostEntries)
 	between("ledger.segment_size", l.SegmentSize, "64KiB", "256MiB", l.SegmentSize >= leastSegment && l.SegmentSize <= mostSegment)
 	between("ledger.max_size", l.MaxSize, "8 segments", "64GiB", l.MaxSize >= leastSegments*l.SegmentSize && l.MaxSize <= mostSize)
 }
