Fleet: a core without I/O that keeps a view of the other sidecars, in simulated time, and its wire

Need: no sidecar knows another one, so the number of them is what a setting says, and what one was told of a server stays with it.

Change: internal/fleet (probes, indirect probes, suspicion that others shorten, refutation, lives without clocks or disks, news by rounds, digests, the dead tried again, words about servers, a number that falls late), internal/lab/fleetsim (many cores on a network that loses, cuts and delays), internal/fleet/gossip (CBOR frames, datagrams and streams). Nothing uses it yet.

--- /dev/null
+++ b/internal/fleet/core.go
@@ -0,0 +1,372 @@
+package fleet
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// member is another one.
+type member struct {
+	Entry
+	since  time.Duration // when State began
+	diedAt time.Duration // Dead, Left: as far as is known
+	heard  bool          // it spoke to this member itself
+	doubt  *suspicion
+	live   int  // its place in Core.live; -1: it is not there
+	budget bool // Dead: it is counted still
+}
+
+// Core is one member's view. Handle is its only way in.
+type Core struct {
+	cfg  Config
+	rng  *rand.Rand
+	me   Entry
+	now  time.Duration
+	out  []Action
+	left bool // this member leaves
+
+	members map[string]*member
+	live    []*member // alive or suspect
+	round   []*member // order of probes, shuffled
+	turn    int
+	digest  [buckets]uint64
+	doubts  doubtHeap
+	spread  spread
+	words   map[string]*word
+	attic   []Address
+	relays  []relay
+	health  int
+	probe   probe
+	counter counter
+
+	due       struct{ probe, gossip, sync, retry, join, sweep time.Duration }
+	joinPause time.Duration
+	joined    bool
+	syncSoon  time.Duration // no other sync of its own choice before
+	tokens    float64       // syncs that may be answered
+	refilled  time.Duration
+	rivals    []time.Duration // when a rival made it take the next life
+	seq       uint64
+	stats     Stats
+}
+
+// New makes a Core that starts at now. told is how many sidecars the setting says there are.
+func New(c Config, now time.Duration, told int) (*Core, error) {
+	c.fill()
+	switch {
+	case c.Name == "" || len(c.Name) > MostName:
+		return nil, fmt.Errorf("fleet: a name of 1 to %d bytes is wanted", MostName)
+	case len(c.Fleet) > MostFleet:
+		return nil, fmt.Errorf("fleet: a fleet's name has at most %d bytes", MostFleet)
+	case !c.Self.IsValid():
+		return nil, errors.New("fleet: an address of its own is wanted")
+	case c.Timeout >= c.Probe:
+		return nil, fmt.Errorf("fleet: the time-out of a probe, %v, is not below the interval, %v", c.Timeout, c.Probe)
+	}
+	m := &Core{cfg: c, rng: rand.New(rand.NewPCG(c.Seed, c.Run)), now: now, members: map[string]*member{}, words: map[string]*word{}}
+	m.me = Entry{Name: c.Name, Addr: c.Self, Version: Version{Life: 1, Run: c.Run}}
+	m.counter = newCounter(told)
+	m.tokens, m.refilled = syncAnswers, now
+	m.joinPause = joinFirst
+	// Probes of members that start together are spread over their interval.
+	m.due.probe = now + time.Duration(m.rng.Int64N(int64(c.Probe)))
+	m.due.gossip = now + time.Duration(m.rng.Int64N(int64(c.Gossip)))
+	m.due.sync = now + m.spreadOver(c.SyncEvery)
+	m.due.retry = now + m.spreadOver(c.RetryEvery)
+	m.due.sweep = now + m.sweepEvery()
+	m.due.join = now
+	return m, nil
+}
+
+// spreadOver is d times 0.75 to 1.25 by chance.
+func (m *Core) spreadOver(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*m.rng.Float64()))
+}
+
+func (m *Core) sweepEvery() time.Duration { return min(m.cfg.Probe, m.cfg.KeepWords/8, m.cfg.Forget/8) }
+
+// Receive takes a message, Tick the time that Next asked for; Say tells a word of this member's own sources; Leave says
+// that this process ends. Each answers with what is to be done. now never goes back; if it does, it is taken for the last.
+
+// Receive takes a message from a peer.
+func (m *Core) Receive(now time.Duration, msg *Message) []Action {
+	m.begin(now)
+	m.receive(msg)
+	return m.end()
+}
+
+// Tick does what is due.
+func (m *Core) Tick(now time.Duration) []Action {
+	m.begin(now)
+	return m.end()
+}
+
+// Say spreads that a server drains or is gone, as this member's own sources tell.
+func (m *Core) Say(now time.Duration, w Word) []Action {
+	m.begin(now)
+	w.By, w.Age = m.me.Name, 0
+	m.hearWord(w)
+	return m.end()
+}
+
+// Leave says that this member ends. It is told to some members at once, and to the rest by them.
+func (m *Core) Leave(now time.Duration) []Action {
+	m.begin(now)
+	if !m.left {
+		m.left, m.me.State = true, Left
+		for _, x := range m.pick(2*m.cfg.GossipTo, nil) {
+			m.send(x.Addr, &Message{Kind: Gossip})
+		}
+	}
+	return m.end()
+}
+
+// Next is when Tick is wanted.
+func (m *Core) Next() time.Duration {
+	at := min(m.due.gossip, m.due.probe, m.due.sync, m.due.retry, m.due.sweep)
+	if !m.joined {
+		at = min(at, m.due.join)
+	}
+	if p := &m.probe; p.on {
+		at = min(at, p.next())
+	}
+	if len(m.relays) > 0 {
+		at = min(at, m.relays[0].until)
+	}
+	if d := m.doubts.next(); d >= 0 {
+		at = min(at, d)
+	}
+	return at
+}
+
+// begin takes the time, notices that the process stood still, and does what is due by then.
+func (m *Core) begin(now time.Duration) {
+	now = max(now, m.now)
+	if late := now - m.Next(); late > m.stallAfter() && !m.cfg.Plain {
+		m.stood(late)
+	}
+	m.now = now
+	m.tokens = min(syncAnswers, m.tokens+(now-m.refilled).Seconds()*syncAnswers)
+	m.refilled = now
+}
+
+// stallAfter is how late a Tick may come before this process counts as one that stood still.
+func (m *Core) stallAfter() time.Duration { return m.cfg.Timeout }
+
+// stood voids what was not heard while this process stood still: the silence was its own. Guards against a process that
+// wakes after a SIGSTOP, or had no processor, and accuses whom it did not listen to.
+func (m *Core) stood(late time.Duration) {
+	m.stats.Stalls++
+	m.stats.LastStall = int64(late)
+	m.unwell(1)
+	m.probe.on = false
+	m.doubts.postpone(late)
+	m.relays = nil
+	m.due.probe = m.now + late + time.Duration(m.rng.Int64N(int64(m.cfg.Probe)))
+}
+
+func (m *Core) end() []Action {
+	m.run()
+	if n, changed := m.counter.settle(m.now, m); changed {
+		m.out = append(m.out, Action{Do: Counted, Count: n})
+	}
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// run does what is due.
+func (m *Core) run() {
+	now := m.now
+	m.expireRelays()
+	m.runProbe()
+	for d := m.doubts.pop(now); d != nil; d = m.doubts.pop(now) {
+		m.bury(d)
+	}
+	if !m.joined && now >= m.due.join {
+		m.join()
+	}
+	if now >= m.due.gossip {
+		m.due.gossip = now + m.cfg.Gossip
+		m.gossip()
+	}
+	if now >= m.due.sync {
+		m.due.sync = now + m.spreadOver(m.cfg.SyncEvery)
+		if x := m.pick(1, nil); len(x) > 0 {
+			m.ask(x[0].Addr, false)
+		}
+	}
+	if now >= m.due.retry {
+		m.due.retry = now + m.spreadOver(m.cfg.RetryEvery)
+		m.retry()
+	}
+	if now >= m.due.sweep {
+		m.due.sweep = now + m.sweepEvery()
+		m.forget()
+		m.dropWords()
+	}
+}
+
+// send fills in the header and what is new.
+func (m *Core) send(to Address, msg *Message) {
+	msg.Fleet, msg.From = m.cfg.Fleet, m.me
+	switch msg.Kind {
+	case Ping, Ack, PingReq, Gossip:
+		m.load(msg)
+	}
+	m.out = append(m.out, Action{Do: Send, To: to, Msg: msg})
+}
+
+func (m *Core) stream(to Address, msg *Message) {
+	msg.Fleet, msg.From = m.cfg.Fleet, m.me
+	m.out = append(m.out, Action{Do: Send, To: to, Msg: msg, Stream: true})
+}
+
+func (m *Core) note(x *member, was State, why string) {
+	m.out = append(m.out, Action{Do: Noted, Note: &Note{Name: x.Name, Version: x.Version, Was: was, Now: x.State, Why: why}})
+}
+
+// receive takes a message in: first its sender, then what it says of others, then what it is.
+func (m *Core) receive(msg *Message) {
+	from := msg.From
+	switch {
+	case msg.Fleet != m.cfg.Fleet:
+		m.stats.Foreign++
+		return
+	case from.Name == m.me.Name && from.SameLife(m.me.Version):
+		return // itself, by a seed that is its own address
+	case msg.Kind >= kinds || !m.valid(&from) || from.State != Alive && from.State != Left:
+		m.stats.Refused++
+		return
+	}
+	if from.Name != m.me.Name { // else another process under this name: what it says of that name is an entry
+		m.joined = true
+	}
+	from.By, from.Age = "", 0
+	m.hear(from, true)
+	for i := range msg.Entries {
+		if i >= mostEntries && msg.Kind == Gossip || i >= m.cfg.Most {
+			m.stats.Refused += len(msg.Entries) - i
+			break
+		}
+		m.hear(msg.Entries[i], false)
+	}
+	for i := range msg.Words {
+		if i >= mostWords {
+			break
+		}
+		if msg.Words[i].By != m.me.Name {
+			m.hearWord(msg.Words[i])
+		}
+	}
+	if m.left {
+		return
+	}
+	x := m.members[from.Name]
+	switch msg.Kind {
+	case Ping:
+		if msg.Target == m.me.Name || msg.Target == "" {
+			m.send(from.Addr, &Message{Kind: Ack, Seq: msg.Seq, Target: m.me.Name, Entries: m.contrary(x, &from)})
+		}
+	case Ack:
+		m.acked(msg)
+	case Nack:
+		if m.probe.on && msg.Seq == m.probe.seq {
+			m.probe.nacks++
+		}
+	case PingReq:
+		m.relay(msg)
+	case Gossip:
+		// It may not know what is held of it, and nobody else may know it: it is told.
+		if list := m.contrary(x, &from); list != nil {
+			m.send(from.Addr, &Message{Kind: Gossip, Entries: list})
+		}
+	case SyncAsk:
+		m.answer(msg)
+	case SyncTell:
+		if msg.Buckets != 0 {
+			m.stream(from.Addr, &Message{Kind: SyncEnd, Entries: m.inBuckets(msg.Buckets), Words: m.allWords()})
+		}
+	}
+}
+
+// contrary is what is held of a sender and contradicts what it says of itself, so that it can refute that, or take the
+// next life.
+func (m *Core) contrary(x *member, from *Entry) []Entry {
+	if from.Name == m.me.Name {
+		return []Entry{m.me}
+	}
+	if x == nil || x.State == Alive && x.SameLife(from.Version) || from.State == Left {
+		return nil
+	}
+	return []Entry{m.entry(x)}
+}
+
+// entry is what is told of a member.
+func (m *Core) entry(x *member) Entry {
+	e := x.Entry
+	if e.State >= Dead {
+		e.Age = m.now - x.diedAt
+	}
+	return e
+}
+
+func (m *Core) valid(e *Entry) bool {
+	return e.Name != "" && len(e.Name) <= MostName && len(e.By) <= MostName && e.Addr.IsValid() && e.State <= Left && e.Life >= 1 &&
+		e.Life <= MostNumber && e.Inc <= MostNumber && e.Age >= 0 && (m.cfg.Allowed == nil || m.cfg.Allowed(e.Addr))
+}
+
+// n is the fleet's size for timers and spreading.
+func (m *Core) n() int { return len(m.live) + 1 }
+
+// unwell moves the measure of one's own slowness.
+func (m *Core) unwell(by int) {
+	if !m.cfg.Plain {
+		m.health = min(max(m.health+by, 0), mostHealth)
+	}
+}
+
+// slowed is a time-out as own slowness stretches it.
+func (m *Core) slowed(d time.Duration) time.Duration { return d * time.Duration(1+m.health) }
+
+// pick is up to n live members by chance, none twice, but those that skip names.
+func (m *Core) pick(n int, skip func(*member) bool) (list []*member) {
+	for tries := 0; len(list) < n && tries < 4*n+8 && len(m.live) > 0; tries++ {
+		x := m.live[m.rng.IntN(len(m.live))]
+		if !slices.Contains(list, x) && (skip == nil || !skip(x)) {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// View is all that is known, by name, this member included.
+func (m *Core) View() []Member {
+	list := []Member{{Name: m.me.Name, Addr: m.me.Addr, Version: m.me.Version, State: m.me.State, Self: true}}
+	for _, x := range m.members {
+		list = append(list, Member{Name: x.Name, Addr: x.Addr, Version: x.Version, State: x.State, Since: x.since, By: x.By})
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Live is how many members are alive or suspect, this one included; Version its own.
+func (m *Core) Live() int        { return m.n() }
+func (m *Core) Version() Version { return m.me.Version }
+
+// Stats is what was counted.
+func (m *Core) Stats() Stats {
+	s := m.stats
+	s.Joining = !m.joined && len(m.cfg.Seeds) > 0
+	s.Health, s.Known, s.Live, s.Count = m.health, len(m.members)+1, m.n(), m.counter.n
+	s.Queue, s.Words, s.Attic = m.spread.len(), len(m.words), len(m.attic)
+	return s
+}
+
+// logN is how many rounds news takes, rounded up.
+func (m *Core) logN() int { return int(math.Ceil(math.Log10(float64(m.n() + 1)))) }
--- /dev/null
+++ b/internal/fleet/gossip/gossip.go
@@ -0,0 +1,448 @@
+// Package gossip puts sockets and a clock round internal/fleet: datagrams between sidecars, a stream where a whole view is
+// exchanged, and one goroutine that owns the core.
+//
+// # Goroutines
+//
+// Run owns the core. One goroutine reads datagrams, one takes connections, each of which has one (streamsIn at a time), and
+// streamsOut dial. All of them hand frames to Run through a queue of queueLength, which drops what it has no room for; Run
+// never waits for any of them: datagrams are written without waiting, and what the dialers have no room for is dropped, as a
+// network would.
+//
+// # Bounds
+//
+// A datagram holds at most datagramMost bytes, a stream streamMost and streamTime. Peers outside the allowed networks are
+// dropped and counted before anything of theirs is read.
+package gossip
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go4.org/netipx"
+
+	"hazelwing/internal/fleet"
+)
+
+const (
+	queueLength  = 1024
+	datagramMost = 1400
+	streamMost   = 8 << 20
+	streamTime   = 5 * time.Second
+	streamsIn    = 16
+	streamsOut   = 4
+	outLength    = 32
+	leaveTime    = 400 * time.Millisecond // for the word that this member leaves to get out
+	sayEvery     = 10 * time.Second       // lines of one kind in the log that peers can bring about
+	answerTime   = time.Second
+)
+
+// Map is how members of a prefix are reached from here: address by address under another one of the same length. For fleets
+// across networks that translate addresses.
+type Map struct{ From, To netip.Prefix }
+
+// Config is a Node's.
+type Config struct {
+	Core    fleet.Config // Run and Allowed are filled in
+	Told    int
+	Listen  string        // address and port, for datagrams and streams
+	Allowed *netipx.IPSet // peers' networks
+	Maps    []Map
+	// Told by others: a server drains or is gone, or that holds no more. Count: how many sidecars to reckon with. Both are
+	// called from Run's goroutine and must not block.
+	OnWord  func(w fleet.Word, holds bool)
+	OnCount func(n int)
+	Log     *slog.Logger
+}
+
+// Node is this process's place in the fleet.
+type Node struct {
+	cfg    Config
+	core   *fleet.Core
+	begun  time.Time
+	conn   *net.UDPConn
+	listen net.Listener
+	in     chan input
+	out    chan outgoing
+	count  counts
+	say    map[string]time.Time // Run's own: when a line of a kind was last written
+}
+
+// counts are of what never reached the core.
+type counts struct {
+	outside, corrupt, version, full, unsent, datagrams, streams, bytesOut, bytesIn atomic.Int64
+}
+
+type input struct {
+	msg  *fleet.Message
+	bad  error
+	from netip.Addr
+	ask  chan<- State
+	word *fleet.Word
+}
+
+type outgoing struct {
+	to    netip.AddrPort
+	frame []byte
+}
+
+// State is what a Node says of itself.
+type State struct {
+	Name    string        `json:"name"`
+	Fleet   string        `json:"fleet"`
+	Members []MemberState `json:"members"`
+	Core    fleet.Stats   `json:"core"`
+	Network NetworkState  `json:"network"`
+	Words   int           `json:"words"`
+}
+
+// MemberState is a member as of now.
+type MemberState struct {
+	fleet.Member
+	For string `json:"for"` // how long it has been in its state
+}
+
+// NetworkState counts since the start.
+type NetworkState struct {
+	Outside   int64 `json:"outside"`   // from outside the allowed networks: dropped
+	Corrupt   int64 `json:"corrupt"`   // could not be read: dropped
+	Version   int64 `json:"version"`   // of another version: dropped
+	Full      int64 `json:"full"`      // came when the queue was full: dropped
+	Unsent    int64 `json:"unsent"`    // could not be sent
+	Datagrams int64 `json:"datagrams"` // sent
+	Streams   int64 `json:"streams"`   // sent
+	BytesOut  int64 `json:"bytes_out"`
+	BytesIn   int64 `json:"bytes_in"`
+}
+
+// New listens. Nothing is sent before Run.
+func New(c Config) (*Node, error) {
+	at, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	n := &Node{cfg: c, begun: time.Now(), in: make(chan input, queueLength), out: make(chan outgoing, outLength), say: map[string]time.Time{}}
+	n.cfg.Core.Run = rand.Uint64()
+	n.cfg.Core.Allowed = func(a fleet.Address) bool { return a.Port() != 0 && c.Allowed.Contains(a.Addr()) }
+	if n.core, err = fleet.New(n.cfg.Core, 0, c.Told); err != nil {
+		return nil, err
+	}
+	if n.listen, err = net.Listen("tcp", c.Listen); err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	// The stream's port, where the system chose it.
+	at = netip.AddrPortFrom(at.Addr(), uint16(n.listen.Addr().(*net.TCPAddr).Port))
+	if n.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+		n.listen.Close()
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	n.conn.SetReadBuffer(1 << 20)
+	return n, nil
+}
+
+// Close ends a Node that does not run.
+func (n *Node) Close() {
+	n.conn.Close()
+	n.listen.Close()
+}
+
+// Say spreads a word of this process's own sources. It may be called from any goroutine, and does not wait: with a full queue
+// the word is dropped, and the sources of the others bring it.
+func (n *Node) Say(w fleet.Word) {
+	n.post(input{word: &w})
+}
+
+func (n *Node) post(i input) bool {
+	select {
+	case n.in <- i:
+		return true
+	default:
+		n.count.full.Add(1)
+		return false
+	}
+}
+
+// State is the view. It may be called from any goroutine while Run runs; zero: it did not answer in a second.
+func (n *Node) State() (s State) {
+	answer := make(chan State, 1)
+	late := time.After(answerTime)
+	select {
+	case n.in <- input{ask: answer}:
+	case <-late:
+		return State{}
+	}
+	select {
+	case s = <-answer:
+	case <-late:
+	}
+	return s
+}
+
+// Run takes part in the fleet until ctx ends; then it says that it leaves, and returns. It closes its sockets.
+func (n *Node) Run(ctx context.Context) {
+	work, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(n.readDatagrams)
+	all.Go(func() { n.takeStreams(work) })
+	for range streamsOut {
+		all.Go(func() { n.dial(work) })
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var leaving <-chan time.Time
+	done := ctx.Done()
+	for running := true; running; {
+		select {
+		case <-done:
+			done = nil
+			n.act(n.core.Leave(n.now()))
+			leaving = time.After(leaveTime)
+		case <-leaving:
+			running = false
+		case <-timer.C:
+			n.act(n.core.Tick(n.now()))
+		case i := <-n.in:
+			n.handle(i)
+		}
+		timer.Reset(max(0, n.core.Next()-n.now()))
+	}
+	stop()
+	n.Close()
+	all.Wait()
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.begun) }
+
+func (n *Node) handle(i input) {
+	switch {
+	case i.ask != nil:
+		i.ask <- n.state()
+	case i.word != nil:
+		n.act(n.core.Say(n.now(), *i.word))
+	case i.bad != nil:
+		kind := "corrupt"
+		if errors.Is(i.bad, ErrVersion) {
+			kind = "version"
+		}
+		if now := time.Now(); now.Sub(n.say[kind]) >= sayEvery {
+			n.say[kind] = now
+			n.cfg.Log.Warn("fleet: a message cannot be read", "from", i.from, "err", i.bad)
+		}
+	default:
+		n.act(n.core.Receive(n.now(), i.msg))
+	}
+}
+
+func (n *Node) act(list []fleet.Action) {
+	for _, a := range list {
+		switch a.Do {
+		case fleet.Send:
+			n.send(a)
+		case fleet.Noted:
+			n.cfg.Log.Info("fleet", "member", a.Note.Name, "life", a.Note.Life, "was", a.Note.Was, "now", a.Note.Now, "why", a.Note.Why)
+		case fleet.Told:
+			n.cfg.Log.Info("fleet: told of a server", "server", a.Word.Server, "gone", a.Word.Gone, "by", a.Word.By, "age", a.Word.Age)
+			n.cfg.OnWord(a.Word, true)
+		case fleet.Unsaid:
+			n.cfg.OnWord(a.Word, false)
+		case fleet.Counted:
+			n.cfg.OnCount(a.Count)
+		}
+	}
+}
+
+func (n *Node) state() State {
+	s := State{Name: n.cfg.Core.Name, Fleet: n.cfg.Core.Fleet, Core: n.core.Stats(), Network: n.network()}
+	s.Words = s.Core.Words
+	now := n.now()
+	for _, m := range n.core.View() {
+		s.Members = append(s.Members, MemberState{m, (now - m.Since).Round(time.Millisecond).String()})
+	}
+	return s
+}
+
+func (n *Node) network() NetworkState {
+	c := &n.count
+	return NetworkState{c.outside.Load(), c.corrupt.Load(), c.version.Load(), c.full.Load(), c.unsent.Load(), c.datagrams.Load(), c.streams.Load(),
+		c.bytesOut.Load(), c.bytesIn.Load()}
+}
+
+// reach is where an address is reached from here.
+func (n *Node) reach(to netip.AddrPort) netip.AddrPort {
+	for _, m := range n.cfg.Maps {
+		if a := to.Addr(); m.From.Contains(a) {
+			from, as := a.AsSlice(), m.To.Masked().Addr().AsSlice()
+			for bit := m.From.Bits(); bit < len(as)*8; bit++ {
+				as[bit/8] |= from[bit/8] & (1 << (7 - bit%8))
+			}
+			mapped, _ := netip.AddrFromSlice(as)
+			return netip.AddrPortFrom(mapped, to.Port())
+		}
+	}
+	return to
+}
+
+func (n *Node) send(a fleet.Action) {
+	frame, err := Encode(a.Msg)
+	if err != nil {
+		n.count.unsent.Add(1)
+		return
+	}
+	to := n.reach(a.To)
+	if a.Stream || len(frame) > datagramMost {
+		select {
+		case n.out <- outgoing{to, frame}:
+		default:
+			n.count.unsent.Add(1)
+		}
+		return
+	}
+	if _, err := n.conn.WriteToUDPAddrPort(frame, to); err != nil {
+		n.count.unsent.Add(1)
+		return
+	}
+	n.count.datagrams.Add(1)
+	n.count.bytesOut.Add(int64(len(frame)))
+}
+
+func (n *Node) dial(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-n.out:
+			if n.write(ctx, o) != nil {
+				n.count.unsent.Add(1)
+				continue
+			}
+			n.count.streams.Add(1)
+			n.count.bytesOut.Add(int64(len(o.frame)))
+		}
+	}
+}
+
+func (n *Node) write(ctx context.Context, o outgoing) error {
+	ctx, end := context.WithTimeout(ctx, streamTime)
+	defer end()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", o.to.String())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(o.frame)))
+	_, err = conn.Write(append(frame, o.frame...))
+	return err
+}
+
+func (n *Node) readDatagrams() {
+	buf := make([]byte, 64<<10)
+	for {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an answer of the network's to something that was sent
+		}
+		if !n.allowed(from.Addr()) {
+			continue
+		}
+		if size > datagramMost {
+			n.count.corrupt.Add(1)
+			continue
+		}
+		n.frame(buf[:size], from.Addr())
+	}
+}
+
+func (n *Node) allowed(a netip.Addr) bool {
+	if n.cfg.Allowed.Contains(a.Unmap()) {
+		return true
+	}
+	n.count.outside.Add(1)
+	return false
+}
+
+func (n *Node) frame(frame []byte, from netip.Addr) {
+	n.count.bytesIn.Add(int64(len(frame)))
+	msg, err := Decode(frame)
+	if err != nil {
+		if errors.Is(err, ErrVersion) {
+			n.count.version.Add(1)
+		} else {
+			n.count.corrupt.Add(1)
+		}
+	}
+	n.post(input{msg: msg, bad: err, from: from})
+}
+
+func (n *Node) takeStreams(ctx context.Context) {
+	slots := make(chan struct{}, streamsIn)
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		conn, err := n.listen.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // descriptors have run out
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		from, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
+		if !n.allowed(from.Addr()) {
+			conn.Close()
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			n.count.full.Add(1)
+			conn.Close()
+			continue
+		}
+		all.Go(func() {
+			defer func() { <-slots }()
+			n.readStream(ctx, conn, from.Addr())
+		})
+	}
+}
+
+// readStream reads one frame.
+func (n *Node) readStream(ctx context.Context, conn net.Conn, from netip.Addr) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	conn.SetDeadline(time.Now().Add(streamTime))
+	var head [4]byte
+	if _, err := io.ReadFull(conn, head[:]); err != nil {
+		return
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > streamMost {
+		n.count.corrupt.Add(1)
+		return
+	}
+	// Read as it comes, and not into a buffer of the size that is said: a peer may say more than it sends.
+	frame, err := io.ReadAll(io.LimitReader(conn, int64(size)))
+	if err != nil || len(frame) != int(size) {
+		n.count.corrupt.Add(1)
+		return
+	}
+	n.frame(frame, from)
+}
--- /dev/null
+++ b/internal/fleet/hear.go
@@ -0,0 +1,297 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// hear takes in what is said of a member; direct: by itself, in a message's header.
+func (m *Core) hear(e Entry, direct bool) {
+	if !m.valid(&e) {
+		m.stats.Refused++
+		return
+	}
+	if e.Name == m.me.Name {
+		m.hearOfMe(e)
+		return
+	}
+	x := m.members[e.Name]
+	if x == nil {
+		x = m.meet(e, direct)
+		if x == nil {
+			return
+		}
+	} else if !x.SameLife(e.Version) {
+		if e.Version.Compare(x.Version) < 0 {
+			return // of a life that is over, or one that has to be raised: contrary tells
+		}
+		m.reborn(x, e)
+	} else {
+		m.update(x, e)
+	}
+	if direct {
+		x.heard = true
+	}
+}
+
+// meet is a name that was not known. Nothing is made of the dead but that they are tried again and counted.
+func (m *Core) meet(e Entry, direct bool) *member {
+	if e.State >= Dead && e.Age >= m.cfg.Forget {
+		return nil
+	}
+	if len(m.members)+1 >= m.cfg.Most && !m.makeRoom(direct) {
+		m.stats.Refused++
+		return nil
+	}
+	x := &member{Entry: e, since: m.now, live: -1}
+	x.Age = 0
+	m.members[e.Name] = x
+	switch e.State {
+	case Dead, Left:
+		x.diedAt = m.now - e.Age
+		m.counter.died(x)
+	case Suspect:
+		x.State, x.By = Alive, ""
+		m.enter(x)
+		m.suspect(x, e.By, "told by "+e.By)
+	default:
+		m.enter(x)
+		m.note(x, Left, "is new")
+		m.spread.add(newsOf(x.Name))
+	}
+	m.flip(x)
+	return x
+}
+
+// makeRoom drops the member that has been dead for longest, and for one that speaks itself one that nobody heard. Guards
+// against a table that a broken peer fills with names, so that nobody can join.
+func (m *Core) makeRoom(direct bool) bool {
+	var worst *member
+	for _, x := range m.members {
+		if x.State >= Dead && (worst == nil || x.diedAt < worst.diedAt || x.diedAt == worst.diedAt && x.Name < worst.Name) {
+			worst = x
+		}
+	}
+	if worst == nil && direct {
+		for _, x := range m.members {
+			if !x.heard && (worst == nil || x.Name < worst.Name) {
+				worst = x
+			}
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	m.note(worst, worst.State, "is forgotten: there are too many")
+	m.drop(worst)
+	return true
+}
+
+// reborn is that another process has a member's name: nothing that was said of the old one counts for it.
+func (m *Core) reborn(x *member, e Entry) {
+	was := x.State
+	m.flip(x)
+	m.clear(x)
+	m.counter.over(x)
+	age, by := e.Age, e.By
+	x.Entry, x.since, x.heard = e, m.now, false
+	x.Age, x.By = 0, ""
+	switch e.State {
+	case Dead, Left:
+		m.leave(x)
+		x.diedAt = m.now - age
+		x.By = by
+		m.counter.died(x)
+	case Suspect:
+		x.State = Alive
+		m.enter(x)
+	default:
+		m.enter(x)
+	}
+	m.note(x, was, "has a new life")
+	m.spread.add(newsOf(x.Name))
+	m.flip(x)
+	if e.State == Suspect {
+		m.suspect(x, by, "told by "+by)
+	}
+}
+
+// update is news of the same life.
+func (m *Core) update(x *member, e Entry) {
+	if x.State == Left {
+		return // final
+	}
+	switch e.State {
+	case Left:
+		m.counter.over(x)
+		m.become(x, Left, e.Inc, e.Age, "", "has left")
+	case Alive:
+		if e.Inc > x.Inc {
+			was := x.State
+			x.Addr = e.Addr
+			m.become(x, Alive, e.Inc, 0, "", "refutes")
+			if was == Dead {
+				m.meetAgain(x)
+			}
+		}
+	case Suspect:
+		switch {
+		case x.State == Dead && e.Inc <= x.Inc || e.Inc < x.Inc:
+		case x.State == Suspect && e.Inc == x.Inc:
+			m.confirm(x, e.By)
+		default:
+			m.clear(x)
+			m.flip(x)
+			x.Inc = e.Inc
+			m.suspect(x, e.By, "told by "+e.By)
+			m.flip(x)
+		}
+	case Dead:
+		switch {
+		case e.Inc < x.Inc || x.State == Dead:
+		case x.State == Suspect:
+			m.become(x, Dead, e.Inc, e.Age, e.By, "told by "+e.By)
+		default:
+			// Who is alive here and dead there was cut off from one of both: it has its time to refute.
+			m.flip(x)
+			x.Inc = e.Inc
+			m.suspect(x, e.By, "dead for "+e.By)
+			m.flip(x)
+		}
+	}
+}
+
+// become moves a member of one life to a state, and spreads that.
+func (m *Core) become(x *member, s State, inc uint64, age time.Duration, by, why string) {
+	was := x.State
+	m.flip(x)
+	m.clear(x)
+	x.State, x.Inc, x.By = s, inc, by
+	if was != s {
+		x.since = m.now
+	}
+	if s >= Dead {
+		x.diedAt = m.now - age
+		m.leave(x)
+		m.counter.died(x)
+	} else {
+		m.enter(x)
+	}
+	m.flip(x)
+	m.note(x, was, why)
+	m.spread.add(newsOf(x.Name))
+}
+
+// enter and leave keep the list of live members, and the round of probes.
+func (m *Core) enter(x *member) {
+	m.counter.over(x)
+	if x.live >= 0 {
+		return
+	}
+	x.live = len(m.live)
+	m.live = append(m.live, x)
+	at := m.turn + m.rng.IntN(len(m.round)-m.turn+1) // somewhere in what is left of the round
+	m.round = append(m.round, nil)
+	copy(m.round[at+1:], m.round[at:])
+	m.round[at] = x
+}
+
+func (m *Core) leave(x *member) {
+	if x.live < 0 {
+		return
+	}
+	last := m.live[len(m.live)-1]
+	m.live[x.live], last.live = last, x.live
+	m.live = m.live[:len(m.live)-1]
+	x.live = -1
+}
+
+// clear ends a suspicion.
+func (m *Core) clear(x *member) {
+	if x.doubt != nil {
+		x.doubt.of = nil
+		x.doubt = nil
+	}
+}
+
+// drop forgets a member.
+func (m *Core) drop(x *member) {
+	m.counter.over(x)
+	m.flip(x)
+	m.clear(x)
+	m.leave(x)
+	delete(m.members, x.Name)
+	if x.State == Dead {
+		m.store(x.Addr)
+	}
+}
+
+// flip takes a member into its bucket's digest, or out of it again. Only who is thought to live counts: the dead are
+// forgotten by each member at its own time.
+func (m *Core) flip(x *member) {
+	if x.State < Dead {
+		h := hashOf(x.Name, x.Version)
+		m.digest[bucketOf(x.Name)] ^= h
+	}
+}
+
+func bucketOf(name string) int { return int(xxhash.Sum64String(name) % buckets) }
+
+func hashOf(name string, v Version) uint64 {
+	var b [24]byte
+	for i, n := range []uint64{v.Life, v.Run, v.Inc} {
+		for j := range 8 {
+			b[8*i+j] = byte(n >> (8 * j))
+		}
+	}
+	d := xxhash.New()
+	d.WriteString(name)
+	d.Write(b[:])
+	return d.Sum64()
+}
+
+// hearOfMe refutes what is wrong, and takes the next life where another process has had this name.
+func (m *Core) hearOfMe(e Entry) {
+	switch {
+	case e.SameLife(m.me.Version):
+		switch {
+		case m.left || e.State == Alive:
+			if e.Inc > m.me.Inc {
+				m.me.Inc = e.Inc // said in this life's name: nothing that this process says later may be below it
+			}
+		case e.State == Left:
+			m.nextLife(e.Version)
+		case e.Inc >= m.me.Inc:
+			m.me.Inc = e.Inc + 1
+			m.stats.Refuted++
+			m.unwell(1)
+			m.spread.add(newsOf(m.me.Name))
+		}
+	case e.Version.Compare(m.me.Version) > 0:
+		m.nextLife(e.Version)
+	}
+}
+
+// nextLife goes past what another process under this name had. Two that run at the same time would chase each other: after
+// rivalRaises in rivalWindow it waits.
+func (m *Core) nextLife(v Version) {
+	if v.Life >= MostNumber {
+		m.stats.Refused++
+		return
+	}
+	for len(m.rivals) > 0 && m.now-m.rivals[0] > rivalWindow {
+		m.rivals = m.rivals[1:]
+	}
+	if len(m.rivals) >= rivalRaises {
+		m.stats.Rivals++
+		if m.now-m.rivals[len(m.rivals)-1] < rivalPause {
+			return
+		}
+		m.out = append(m.out, Action{Do: Noted, Note: &Note{Name: m.me.Name, Version: v, Was: Alive, Now: Alive, Why: "another process uses this name"}})
+		m.rivals = m.rivals[1:]
+	}
+	m.rivals = append(m.rivals, m.now)
+	m.me.Version = Version{Life: v.Life + 1, Run: m.me.Run}
+	m.spread.add(newsOf(m.me.Name))
+}
--- /dev/null
+++ b/internal/lab/fleetsim/fleetsim_test.go
@@ -0,0 +1,225 @@
+package fleetsim
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/internal/fleet"
+)
+
+var histories = flag.Int("histories", 100, "random histories of TestRandomHistories")
+
+// all starts a fleet with member 0 as everybody's seed.
+func all(t *testing.T, c Config) *Fleet {
+	t.Helper()
+	f := New(c)
+	for i := range c.Members {
+		f.Start(i, 0)
+	}
+	if took := f.Until(30*time.Second, 100*time.Millisecond, func() bool { return f.Agreed(nil) }); took < 0 {
+		t.Fatalf("they did not find each other: %s", f.Disagreement(nil))
+	}
+	return f
+}
+
+func agree(t *testing.T, f *Fleet, within time.Duration, group func(int) bool, what string) time.Duration {
+	t.Helper()
+	took := f.Until(within, 100*time.Millisecond, func() bool { return f.Agreed(group) })
+	if took < 0 {
+		t.Fatalf("%s: not within %v: %s", what, within, f.Disagreement(group))
+	}
+	return took
+}
+
+func halves(f *Fleet) func(from, to int) bool {
+	n := len(f.Members) / 2
+	return func(from, to int) bool { return (from < n) == (to < n) }
+}
+
+// What a third that dies at once costs; half of it comes back in 50 ms under its names.
+func TestAThirdDies(t *testing.T) {
+	f := all(t, Config{Members: 30, Seed: 1})
+	for i := range 10 {
+		f.Kill(i)
+	}
+	f.Run(50 * time.Millisecond)
+	for i := range 5 {
+		f.Start(i, 20, 21)
+	}
+	t.Log(agree(t, f, time.Minute, nil, "after the deaths"))
+}
+
+// Two halves that have buried and forgotten each other find together again, after a cut of any length.
+func TestHalvesMeetAgain(t *testing.T) {
+	for _, c := range []struct {
+		cut, forget time.Duration
+		members     int
+	}{{10 * time.Second, time.Hour, 20}, {3 * time.Minute, time.Hour, 40}, {10 * time.Minute, 2 * time.Minute, 21}, {10 * time.Minute, 2 * time.Minute, 2}} {
+		t.Run(fmt.Sprint(c.cut, c.forget, c.members), func(t *testing.T) {
+			f := all(t, Config{Members: c.members, Seed: 2, Core: fleet.Config{Forget: c.forget}})
+			f.Linked = halves(f)
+			f.Run(c.cut)
+			if c.cut > 2*time.Minute {
+				n := c.members / 2
+				agree(t, f, time.Minute, func(i int) bool { return i < n }, "the first half")
+				agree(t, f, time.Minute, func(i int) bool { return i >= n }, "the second half")
+			}
+			f.Linked = nil
+			t.Log(agree(t, f, 90*time.Second, nil, "after the cut"))
+		})
+	}
+}
+
+// A process that stood still accuses nobody when it wakes, and refutes what was said of it. With the guard taken out (Plain)
+// it does accuse.
+func TestStandingStill(t *testing.T) {
+	accused := func(plain bool) int {
+		f := all(t, Config{Members: 12, Seed: 3, Latency: 60 * time.Millisecond, Core: fleet.Config{Plain: plain}})
+		wrong := 0
+		f.Noted = func(i int, n fleet.Note) {
+			if i == 4 && n.Now == fleet.Suspect {
+				wrong++
+			}
+		}
+		for range 40 {
+			f.Freeze(4, 5*time.Second)
+			f.Run(5 * time.Second)
+			agree(t, f, time.Minute, nil, "after it woke")
+			f.Run(time.Duration(f.rng.Int64N(int64(time.Second))))
+		}
+		return wrong
+	}
+	if n := accused(false); n > 0 {
+		t.Errorf("it accused %d members of its own silence", n)
+	}
+	if accused(true) == 0 {
+		t.Error("without the guard nobody was accused: the test shows nothing")
+	}
+}
+
+// A member that leaves while it is suspected, or while the fleet is cut, has left.
+func TestLeaving(t *testing.T) {
+	f := all(t, Config{Members: 12, Seed: 4})
+	f.Freeze(3, 4*time.Second)
+	f.Run(4 * time.Second)
+	f.Leave(3)
+	f.Run(20 * time.Second)
+	for i, m := range f.Members {
+		if i == 3 {
+			continue
+		}
+		for _, x := range m.Core.View() {
+			if x.Name == "m0003" && x.State != fleet.Left {
+				t.Errorf("%s holds it for %v", m.Name, x.State)
+			}
+		}
+	}
+	f.Linked = halves(f)
+	f.Leave(4)
+	f.Run(3 * time.Minute)
+	f.Linked = nil
+	agree(t, f, 90*time.Second, nil, "after the cut")
+}
+
+// No live member stays dead in a view once links hold, views converge, and lives never go back, whatever the history.
+func TestRandomHistories(t *testing.T) {
+	for n := range *histories {
+		history(t, uint64(n))
+	}
+}
+
+func history(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	members := 3 + rng.IntN(14)
+	c := Config{Members: members, Seed: seed, Latency: time.Duration(1+rng.IntN(20)) * time.Millisecond,
+		Core: fleet.Config{Probe: time.Second, Forget: time.Duration(1+rng.IntN(10)) * time.Minute}}
+	if rng.IntN(2) == 0 {
+		c.Loss, c.Double, c.Late, c.LateBy = 0.3*rng.Float64(), 0.1, 0.1, time.Second
+	}
+	f := New(c)
+	lives := map[[2]int]fleet.Version{} // the last of a name in a view of a process
+	number := func(name string) (n int) { fmt.Sscanf(name, "m%d", &n); return n }
+	f.Noted = func(i int, n fleet.Note) {
+		k := [2]int{i<<20 | int(f.Members[i].lives), number(n.Name)}
+		if strings.HasPrefix(n.Why, "is forgotten") {
+			delete(lives, k)
+			return
+		}
+		if was := lives[k]; n.Version.Compare(was) < 0 {
+			t.Errorf("seed %d, %v: %d: %s went back from %+v to %+v (%s)", seed, f.Now, i, n.Name, was, n.Version, n.Why)
+		}
+		lives[k] = n.Version
+	}
+	cut := map[[2]int]bool{}
+	f.Linked = func(from, to int) bool { return !cut[[2]int{from, to}] }
+	seeds := []int{0, rng.IntN(members)}
+	start := func(i int) { f.Start(i, seeds...) }
+	for i := range members {
+		if rng.IntN(4) > 0 {
+			start(i)
+		}
+	}
+	for range 5 + rng.IntN(25) {
+		i := rng.IntN(members)
+		up := f.Members[i].Core != nil
+		switch k := rng.IntN(9); {
+		case k == 0 && up:
+			f.Kill(i)
+		case k == 1 && up:
+			f.Leave(i)
+		case k == 2 && up:
+			f.Kill(i)
+			start(i)
+		case k <= 3 && !up:
+			start(i)
+		case k == 4 && up:
+			f.Freeze(i, time.Duration(rng.IntN(15))*time.Second)
+		case k == 5: // a cut by chance, each direction alone
+			for a := range members {
+				for b := range members {
+					if rng.IntN(3) == 0 {
+						cut[[2]int{a, b}] = true
+					}
+				}
+			}
+		case k == 6:
+			side := make([]int, members)
+			for a := range side {
+				side[a] = rng.IntN(3)
+			}
+			for a := range members {
+				for b := range members {
+					cut[[2]int{a, b}] = side[a] != side[b]
+				}
+			}
+		case k == 7:
+			clear(cut)
+		}
+		f.Run(time.Duration(rng.IntN(40_000)) * time.Millisecond)
+	}
+	clear(cut)
+	f.cfg.Loss, f.cfg.Late = min(f.cfg.Loss, 0.05), 0
+	for i, m := range f.Members {
+		if m.Core == nil && rng.IntN(2) == 0 {
+			start(i)
+		}
+	}
+	if f.Members[0].Core == nil && f.Members[seeds[1]].Core == nil {
+		start(0)
+	}
+	took := f.Until(5*time.Minute, time.Second, func() bool { return f.Agreed(nil) })
+	if took < 0 {
+		t.Errorf("seed %d: %s", seed, f.Disagreement(nil))
+	}
+	for _, m := range f.Members {
+		if core, ok := m.Core.(*fleet.Core); ok {
+			if s := core.Stats(); s.Refused > 0 || s.Known > members {
+				t.Errorf("seed %d: %s: %+v", seed, m.Name, s)
+			}
+		}
+	}
+}
