Fleet: the operator's table, the words and the number to the engine, and hazelwing fleet

Need: the view has to be set up, seen and of use. Change: [fleet] in the operator's file with checks by key, the daemon's part (the number of sidecars to the engine, words about servers as a source of the merge that only takes out, within its share), the admin part and the command. Off without the table.

--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -82,3 +82,7 @@
 	}
 	return ""
 }
+
+// SetBalancers replaces the number of sidecars that the settings told, from the next decision on: subsets, what a crossing
+// weighs and when probes pay follow it. Below 1 counts as 1. The caller is Handle's.
+func (b *Balancer) SetBalancers(n int) { b.set.Balancers = max(n, 1) }
--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -13,10 +14,20 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "hazelwing:", err)
-		os.Exit(1)
+		status := 1
+		if s, ok := errors.AsType[exitStatus](err); ok {
+			status = s.status
+		}
+		os.Exit(status)
 	}
 }
 
+// exitStatus is an error with a status of its own.
+type exitStatus struct {
+	error
+	status int
+}
+
 // more are the commands that a build with the tag "small" leaves out: the lab, whose plots and their fonts make up half of
 // the program.
 var more []func() *cobra.Command
@@ -33,7 +44,7 @@
 		SilenceErrors: true,
 	}
 	c.CompletionOptions.DisableDefaultCmd = true
-	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand(), loadCommand())
+	c.AddCommand(runCommand(), demoCommand(), trafficCommand(), checkCommand(), storeCommand(), loadCommand(), fleetCommand())
 	for _, command := range more {
 		c.AddCommand(command())
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	front  *httpfront.Server
 	// members is discovery and the sources beside it; nil: there are none.
 	members *merged.Source
+	fleet   *fleetPart   // the other sidecars; nil: they are not known
 	guard   *guard.Guard // nil: there is no ledger of effects
 	admin   net.Listener // nil: there is no endpoint
 	extras  []*extra
@@ -69,8 +70,17 @@
 		transport = s.guard.Transport(pool)
 	}
 	var source engine.Source = watch.New(cfg.Discovery, set.MustSubscribe, log)
-	if op.Members != nil {
-		if s.members, err = openMembers(op.Members, source, known, uint64(cfg.Seed), log); err != nil {
+	if op.Fleet != nil {
+		if s.fleet, err = openFleet(op.Fleet, cfg, set.Balancers, log); err != nil {
+			return nil, err
+		}
+	}
+	if words := op.Fleet != nil && !op.Fleet.NoWords; op.Members != nil || words {
+		f := s.fleet
+		if !words {
+			f = nil
+		}
+		if s.members, err = openMembers(op.Members, f, source, known, uint64(cfg.Seed), log); err != nil {
 			return nil, err
 		}
 		source = s.members
@@ -80,6 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.fleet != nil && !op.Fleet.NoCount {
+		s.fleet.onCount(s.engine.SetBalancers)
+	}
 	var doer httpfront.Doer = s.engine
 	if s.guard != nil {
 		doer = s.guard.Doer(s.engine)
@@ -102,6 +115,9 @@
 	if s.admin != nil {
 		s.admin.Close()
 	}
+	if s.fleet != nil {
+		s.fleet.node.Close()
+	}
 	for _, x := range s.extras {
 		x.listener.Close()
 	}
@@ -114,6 +130,9 @@
 	if s.members != nil {
 		p["members"] = func() any { return s.members.State() }
 	}
+	if s.fleet != nil {
+		p["fleet"] = func() any { return s.fleet.node.State() }
+	}
 	if s.guard != nil {
 		p["ledger"] = func() any { return s.guard.State() }
 	}
@@ -142,6 +161,9 @@
 	if s.members != nil {
 		parts.Go(func() { s.members.Run(work) })
 	}
+	if s.fleet != nil {
+		parts.Go(func() { s.fleet.node.Run(work) })
+	}
 	parts.Go(func() { s.reloads(work, reload, again) })
 	if s.admin != nil {
 		parts.Go(func() { admin.Serve(work, s.admin, s.parts(), log) })
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -18,7 +18,10 @@
 )
 
 // openMembers puts the sources of the operator's file beside discovery.
-func openMembers(op *operator.Members, discovery engine.Source, known []engine.Member, seed uint64, log *slog.Logger) (*merged.Source, error) {
+func openMembers(op *operator.Members, f *fleetPart, discovery engine.Source, known []engine.Member, seed uint64, log *slog.Logger) (*merged.Source, error) {
+	if op == nil {
+		op = operator.DefaultMembers()
+	}
 	c := merged.Config{Discovery: discovery, Known: known, Most: int(op.Most), Settle: time.Duration(op.Settle), Forget: time.Duration(op.Forget),
 		Share: op.Share, Window: time.Duration(op.Window), Log: log}
 	if s := op.SRV; s != nil {
@@ -32,5 +35,8 @@
 		c.Beside = append(c.Beside, merged.Beside{Source: membership.Source{Name: srvName, Rank: 1, Keep: time.Duration(s.Keep)},
 			Run: source.Run})
 	}
+	if f != nil {
+		c.Beside, c.Told = append(c.Beside, f.beside()), f.told
+	}
 	return merged.New(c)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"hazelwing/balancer"
@@ -91,7 +92,8 @@
 	acts   []balancer.Action
 	beat   *time.Ticker // runs while calls are in hand
 	stalls stalls
-	ending bool // the Balancer is no longer asked
+	ending bool         // the Balancer is no longer asked
+	sized  atomic.Int64 // how many sidecars there are by SetBalancers, not told to the Balancer yet; 0: nothing is
 }
 
 // New makes an Engine, or says which setting cannot be used. Nothing happens before Run.
@@ -143,6 +145,10 @@
 // Move follows the list at another source from now on, from its whole list.
 func (e *Engine) Move(s Source) { e.post(moved{s}) }
 
+// SetBalancers tells how many sidecars there are, in place of the setting, from the next event on. It may be called from any
+// goroutine, and does not wait.
+func (e *Engine) SetBalancers(n int) { e.sized.Store(int64(n)) }
+
 var (
 	errClosed = errors.New("closed")
 	errFull   = errors.New("too many calls in hand")
@@ -189,6 +195,9 @@
 
 // step handles one event; false: done is.
 func (e *Engine) step(done <-chan struct{}) bool {
+	if e.sized.Load() > 0 {
+		e.bal.SetBalancers(int(e.sized.Swap(0)))
+	}
 	// The list goes first: what it tells must not wait behind a burst of calls.
 	select {
 	case n := <-e.lists:
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -30,6 +31,17 @@
 // MarshalText is the state's name.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads one.
+func (s *State) UnmarshalText(text []byte) error {
+	for x := Alive; x <= Left; x++ {
+		if x.String() == string(text) {
+			*s = x
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is no state of a member", text)
+}
+
 // Version orders what is said of one name: by life, then run, then number.
 type Version struct {
 	Life uint64 `json:"life"` // of the name, from 1
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -43,6 +43,9 @@
 	// Absent says what it means that a whole view lacks a node that the one before had: true, it is gone; false, the
 	// source only says nothing of it any more (a DNS answer may be a part).
 	Absent bool
+	// Hearsay says that it only passes on what others were told: it lists nothing, an Active entry of its takes its word
+	// back, and what it takes out is held to Share, also where it says that it left.
+	Hearsay bool
 	// Keep is how long its last view may add nodes after it has failed.
 	Keep time.Duration
 }
@@ -165,6 +168,9 @@
 		if g, ok := s.graves[k]; ok && (e.BornMS == 0 || e.BornMS >= g.BornMS) {
 			delete(s.graves, k) // it takes its own word back
 		}
+		if s.Hearsay {
+			continue
+		}
 		if len(s.view) < m.cfg.Most || s.view[k].Addr != "" {
 			s.view[k] = e
 		}
@@ -371,7 +377,7 @@
 	for _, s := range m.order {
 		for _, g := range s.graves {
 			if g.covers(&n.Entry) {
-				if g.explicit {
+				if g.explicit && !s.Hearsay {
 					return "", 0
 				}
 				by = s
--- a/internal/membership/merged/merged.go
+++ b/internal/membership/merged/merged.go
@@ -44,8 +44,10 @@
 	Settle, Forget time.Duration
 	Share          float64
 	Window         time.Duration
-	Now            func() time.Time // nil: the clock; a node that only a source beside discovery names is taken to have started then
-	Log            *slog.Logger
+	// Told is called with what discovery says drains or is gone, from Run's goroutine; nil: nobody wants it.
+	Told func(engine.Member)
+	Now  func() time.Time // nil: the clock; a node that only a source beside discovery names is taken to have started then
+	Log  *slog.Logger
 }
 
 // Source is an engine.Source.
@@ -229,6 +231,7 @@
 		s.tell(e.news)
 		return at
 	case e.wish != nil:
+		s.passOn(e.news)
 		changes, at := s.discovered(s.now(), e.news)
 		s.tell(engine.News{Kind: balancer.Change, Seq: e.news.Seq, Members: s.members(changes)})
 		return at
@@ -273,6 +276,18 @@
 	return s.merge.Tell(now, v)
 }
 
+// passOn says what discovery has said of leavings, and not what a whole list of it merely lacks: that may be an older list.
+func (s *Source) passOn(n engine.News) {
+	if s.cfg.Told == nil {
+		return
+	}
+	for _, m := range n.Members {
+		if m.State != balancer.Active {
+			s.cfg.Told(m)
+		}
+	}
+}
+
 // beside tells what changed by the word of others than discovery: no sign that discovery is followed.
 func (s *Source) beside(changes []membership.Change) {
 	if members := s.members(changes); len(members) > 0 {
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -33,8 +33,24 @@
 	Private bool            `toml:"private"` // loopback, link-local and other addresses that no name service should give are taken
 }
 
+// DefaultMembers are the bounds of the merge where the file has no [members] and another table needs it.
+func DefaultMembers() *Members {
+	m := new(Members)
+	m.bounds(func(key, format string, args ...any) {})
+	return m
+}
+
 // check fills in the defaults and tells what cannot be used.
 func (m *Members) check(fault func(key, format string, args ...any)) {
+	m.bounds(fault)
+	if m.SRV == nil {
+		fault("members", "no source: [members.srv] is one")
+		return
+	}
+	m.SRV.check(fault)
+}
+
+func (m *Members) bounds(fault func(key, format string, args ...any)) {
 	bounded(fault, "members.settle", &m.Settle, 250*time.Millisecond, time.Millisecond, time.Minute)
 	bounded(fault, "members.forget", &m.Forget, time.Hour, time.Minute, 7*24*time.Hour)
 	bounded(fault, "members.window", &m.Window, 30*time.Second, time.Second, time.Hour)
@@ -45,11 +61,6 @@
 		fault("members.share", "%v is not above 0 and up to 1", m.Share)
 	}
 	number(fault, "members.most", &m.Most, 10_000, 1, 100_000)
-	if m.SRV == nil {
-		fault("members", "no source: [members.srv] is one")
-		return
-	}
-	m.SRV.check(fault)
 }
 
 func (s *SRV) check(fault func(key, format string, args ...any)) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,6 +28,7 @@
 	Admin   *Admin   `toml:"admin"`
 	GraphQL *GraphQL `toml:"graphql"`
 	Members *Members `toml:"members"`
+	Fleet   *Fleet   `toml:"fleet"`
 
 	path  string
 	where map[string]unstable.Position
@@ -192,6 +193,9 @@
 	if m := c.Members; m != nil {
 		m.check(fault)
 	}
+	if f := c.Fleet; f != nil {
+		f.check(fault)
+	}
 	if a := c.Admin; a != nil {
 		at, err := netip.ParseAddrPort(a.Listen)
 		switch {
