A rig of many processes, links that scripts cut and heal, and the fleet's hard cases on it

Need: the view is for faults between processes, so it has to be shown on processes. Change: internal/standin/rig (a link for each direction between each two of up to 30 processes, kills, freezes, starving, clients that hold sidecars to one answer, servers that count effects, scripts that wait for what admin endpoints say, a time line of all logs on failure); eight scripts in cmd/hazelwing/testdata/fleet.

--- /dev/null
+++ b/internal/standin/rig/links.go
@@ -0,0 +1,243 @@
+package rig
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Weather is what a link does to datagrams. Streams are only cut and delayed: the kernel makes up for the rest.
+type Weather struct {
+	Cut     bool
+	Loss    float64
+	Double  float64
+	Late    float64 // of datagrams that come LateBy later, behind others
+	LateBy  time.Duration
+	Delay   time.Duration
+	Corrupt float64 // of datagrams in which a byte is changed
+}
+
+// The members listen on 127.77.0.N; what member I sends to member J goes to 127.(100+I).0.J, where the link of this direction
+// listens. So each direction of each pair is a link of its own, without privileges.
+func realAddr(j int) netip.Addr     { return netip.AddrFrom4([4]byte{127, 77, 0, byte(j)}) }
+func seenAddr(i, j int) netip.Addr  { return netip.AddrFrom4([4]byte{127, byte(100 + i), 0, byte(j)}) }
+func seenPrefix(i int) netip.Prefix { return netip.PrefixFrom(seenAddr(i, 0), 24) }
+func realPrefix() netip.Prefix      { return netip.PrefixFrom(realAddr(0), 24) }
+
+// link carries what one member sends to another.
+type link struct {
+	to     netip.AddrPort
+	conn   *net.UDPConn
+	listen net.Listener
+	all    sync.WaitGroup
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	weather Weather
+	changed chan struct{} // closed when weather changes
+	done    chan struct{}
+	conns   map[net.Conn]bool
+}
+
+func newLink(i, j int, port uint16, seed uint64) (*link, error) {
+	l := &link{to: netip.AddrPortFrom(realAddr(j), port), rng: rand.New(rand.NewPCG(seed, uint64(i)<<16|uint64(j))),
+		changed: make(chan struct{}), done: make(chan struct{}), conns: map[net.Conn]bool{}}
+	at := netip.AddrPortFrom(seenAddr(i, j), port)
+	var err error
+	if l.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+		return nil, err
+	}
+	if l.listen, err = net.Listen("tcp", at.String()); err != nil {
+		l.conn.Close()
+		return nil, err
+	}
+	l.all.Go(l.datagrams)
+	l.all.Go(l.streams)
+	return l, nil
+}
+
+func (l *link) set(w Weather) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.weather = w
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *link) change(f func(*Weather)) {
+	l.mu.Lock()
+	w := l.weather
+	l.mu.Unlock()
+	f(&w)
+	l.set(w)
+}
+
+func (l *link) now() (Weather, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.weather, l.changed
+}
+
+func (l *link) chance(p float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return p > 0 && l.rng.Float64() < p
+}
+
+func (l *link) datagrams() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := l.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			select {
+			case <-l.done:
+				return
+			default:
+				continue
+			}
+		}
+		w, _ := l.now()
+		if w.Cut || l.chance(w.Loss) {
+			continue
+		}
+		copies := 1
+		if l.chance(w.Double) {
+			copies = 2
+		}
+		for range copies {
+			wait := w.Delay
+			if l.chance(w.Late) {
+				wait += w.LateBy
+			}
+			text := append([]byte(nil), buf[:n]...)
+			if l.chance(w.Corrupt) {
+				l.mu.Lock()
+				text[l.rng.IntN(len(text))] ^= byte(1 + l.rng.IntN(255))
+				l.mu.Unlock()
+			}
+			if wait == 0 {
+				l.conn.WriteToUDPAddrPort(text, l.to)
+				continue
+			}
+			time.AfterFunc(wait, func() { l.conn.WriteToUDPAddrPort(text, l.to) })
+		}
+	}
+}
+
+func (l *link) streams() {
+	for {
+		c, err := l.listen.Accept()
+		if err != nil {
+			return
+		}
+		l.hold(c)
+		l.all.Go(func() { l.stream(c) })
+	}
+}
+
+func (l *link) hold(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.done:
+		c.Close()
+	default:
+		l.conns[c] = true
+	}
+}
+
+func (l *link) release(c net.Conn) {
+	c.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// open waits until the link is not cut; false: it is closed.
+func (l *link) open() bool {
+	for {
+		w, changed := l.now()
+		if !w.Cut {
+			select {
+			case <-time.After(w.Delay):
+				return true
+			case <-l.done:
+				return false
+			}
+		}
+		select {
+		case <-changed:
+		case <-l.done:
+			return false
+		}
+	}
+}
+
+// stream carries what one side writes; a connection of the fleet's goes one way.
+func (l *link) stream(from net.Conn) {
+	defer l.release(from)
+	if !l.open() {
+		return
+	}
+	to, err := net.DialTimeout("tcp", l.to.String(), time.Second)
+	if err != nil {
+		return
+	}
+	l.hold(to)
+	defer l.release(to)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if !l.open() {
+				return
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				to.(*net.TCPConn).CloseWrite()
+			}
+			return
+		}
+	}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	close(l.done)
+	for c := range l.conns {
+		c.Close()
+	}
+	l.mu.Unlock()
+	l.conn.Close()
+	l.listen.Close()
+	l.all.Wait()
+}
+
+// links are those of n members, numbered from 1; ports are the members'.
+func newLinks(n int, ports []uint16, seed uint64) (map[[2]int]*link, error) {
+	all := map[[2]int]*link{}
+	for i := 1; i <= n; i++ {
+		for j := 1; j <= n; j++ {
+			if i == j {
+				continue
+			}
+			l, err := newLink(i, j, ports[j], seed)
+			if err != nil {
+				for _, l := range all {
+					l.close()
+				}
+				return nil, fmt.Errorf("the link from %d to %d: %w", i, j, err)
+			}
+			all[[2]int{i, j}] = l
+		}
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/standin/rig/rig.go
@@ -0,0 +1,294 @@
+// Package rig starts many processes of the program on loopback, with a link of its own for each direction between each two,
+// stand-in servers that count effects, and a client beside each. A script cuts, slows and heals links, and kills, freezes,
+// starves and restarts processes; its steps wait for what the admin endpoints say. docs/operators/rig.md has the script's words.
+//
+// # Bounds
+//
+// A rig has 30 members at most, two sockets for each direction between two, and one client a member. It ends only processes
+// that it has started.
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hazelwing/internal/fleet/gossip"
+	"hazelwing/internal/standin"
+)
+
+// Most is how many members a rig may have.
+const Most = 30
+
+// Config is a rig's.
+type Config struct {
+	Members int
+	Program []string // the command that runs the daemon
+	Env     []string // beside the daemon's own variables
+	Dir     string   // for files and logs; empty at first
+	Seed    uint64
+	Servers int // stand-in servers; 0: 4
+	// Operator is added to each member's operator's file, below [fleet] and [admin]; DIR in it is the member's directory.
+	Operator string
+	// Fleet are more keys of [fleet]; Name replaces the fleet's name for some members.
+	Fleet string
+	Name  func(n int) string
+	Told  int // Balancers of the platform's file; 0: Members
+	Logf  func(format string, args ...any)
+}
+
+// Rig is one that runs.
+type Rig struct {
+	cfg     Config
+	Servers *standin.Fleet
+	Answers Answers
+	members []*process // from 1
+	links   map[[2]int]*link
+	seeds   []string
+	faults  faults
+	begun   time.Time
+	script  string
+	stop    context.CancelFunc
+	all     sync.WaitGroup
+	once    sync.Once
+	admin   *http.Client
+	freezer sync.WaitGroup
+	notes   []note
+	// Took is how long each wait of the script took, in its order.
+	Took []Waited
+}
+
+// Waited is one wait of a script.
+type Waited struct {
+	Step string
+	Took time.Duration
+}
+
+type note struct {
+	at   time.Time
+	text string
+}
+
+// New makes a rig in which no member runs yet. Close it.
+func New(c Config) (r *Rig, err error) {
+	if c.Members < 1 || c.Members > Most {
+		return nil, fmt.Errorf("rig: %d members, 1 to %d can be", c.Members, Most)
+	}
+	if c.Servers == 0 {
+		c.Servers = 4
+	}
+	if c.Told == 0 {
+		c.Told = c.Members
+	}
+	r = &Rig{cfg: c, begun: time.Now(), admin: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	defer func() {
+		if err != nil {
+			r.Close()
+		}
+	}()
+	traffic := &standin.Traffic{Head: standin.Head{Classes: Classes}}
+	var nodes []standin.NodeConfig
+	for i := range c.Servers {
+		nodes = append(nodes, standin.NodeConfig{Name: fmt.Sprint("n", i+1), Zone: string(rune('a' + i%2)), Kind: "m", Speed: 8, Seed: uint64(i + 1)})
+	}
+	if r.Servers, err = standin.NewFleet(standin.FleetConfig{Nodes: nodes, Effects: traffic.Effects(), Slack: 2 * time.Second}); err != nil {
+		return nil, err
+	}
+	r.members = []*process{nil}
+	ports := []uint16{0}
+	for n := 1; n <= c.Members; n++ {
+		p := &process{n: n, name: fmt.Sprintf("m%02d", n), program: c.Program, dir: filepath.Join(c.Dir, fmt.Sprintf("m%02d", n))}
+		if p.port, err = freePort(realAddr(n).String()); err != nil {
+			return nil, err
+		}
+		r.members, ports = append(r.members, p), append(ports, p.port)
+	}
+	if r.links, err = newLinks(c.Members, ports, c.Seed); err != nil {
+		return nil, err
+	}
+	for n := 1; n <= c.Members; n++ {
+		r.seeds = append(r.seeds, r.fleetAddr(n))
+	}
+	for _, p := range r.members[1:] {
+		if err = r.prepare(p, traffic); err != nil {
+			return nil, err
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	for _, p := range r.members[1:] {
+		r.all.Go(func() { r.client(ctx, p) })
+	}
+	return r, nil
+}
+
+func (r *Rig) fleetAddr(n int) string { return fmt.Sprintf("%s:%d", realAddr(n), r.members[n].port) }
+
+// prepare writes a member's files.
+func (r *Rig) prepare(p *process, traffic *standin.Traffic) error {
+	if err := os.MkdirAll(p.dir, 0o755); err != nil {
+		return err
+	}
+	var err error
+	if p.log, err = os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600); err != nil {
+		return err
+	}
+	// Found free now, and taken at the start: another process could take them between, and then the start fails and says so.
+	for _, at := range []*string{&p.listen, &p.admin} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		*at = l.Addr().String()
+	}
+	text, err := standin.Platform(traffic, p.listen, r.Servers.Discovery.Addr(), fmt.Sprintf("%016x", r.cfg.Seed*1000+uint64(p.n)))
+	if err != nil {
+		return err
+	}
+	var platform map[string]any
+	if err := json.Unmarshal(text, &platform); err != nil {
+		return err
+	}
+	platform["name"] = p.name
+	platform["settings"].(map[string]any)["Balancers"] = r.cfg.Told
+	if text, err = json.Marshal(platform); err != nil {
+		return err
+	}
+	path, err := p.write("platform.json", string(text))
+	if err != nil {
+		return err
+	}
+	p.env = append(append(os.Environ(), r.cfg.Env...), "RELAY_CONFIG="+path, "HAZELWING_OPERATOR="+filepath.Join(p.dir, "operator.toml"), "GOMAXPROCS=1")
+	return r.configure(p)
+}
+
+// configure writes a member's operator's file, with the seeds of now.
+func (r *Rig) configure(p *process) error {
+	name := "rig"
+	if r.cfg.Name != nil {
+		name = r.cfg.Name(p.n)
+	}
+	seeds, _ := json.Marshal(r.seeds)
+	text := fmt.Sprintf("[admin]\nlisten = %q\n[fleet]\nname = %q\nlisten = %q\nseeds = %s\nnetworks = [\"127.0.0.0/8\"]\ntranslate = [{from = %q, to = %q}]\n%s\n%s\n",
+		p.admin, name, r.fleetAddr(p.n), seeds, realPrefix(), seenPrefix(p.n), r.cfg.Fleet, strings.ReplaceAll(r.cfg.Operator, "DIR", p.dir))
+	_, err := p.write("operator.toml", text)
+	return err
+}
+
+// Close ends all processes and waits for all that the rig started. It may be called again.
+func (r *Rig) Close() { r.once.Do(r.close) }
+
+func (r *Rig) close() {
+	if r.stop != nil {
+		r.stop()
+	}
+	for _, p := range r.members {
+		if p != nil {
+			p.kill()
+		}
+	}
+	r.freezer.Wait()
+	r.all.Wait()
+	for _, l := range r.links {
+		l.close()
+	}
+	for _, p := range r.members {
+		if p != nil && p.log != nil {
+			p.log.Close()
+		}
+	}
+	if r.Servers != nil {
+		r.Servers.Close()
+	}
+}
+
+// Faults are the rules that were broken and what else was seen wrong, up to now.
+func (r *Rig) Faults() (list []string) {
+	r.faults.mu.Lock()
+	list = slices.Clone(r.faults.list)
+	r.faults.mu.Unlock()
+	for _, p := range r.members[1:] {
+		if err := p.crashed(); err != nil {
+			list = append(list, err.Error())
+		}
+	}
+	return append(list, r.Servers.Ledger.Broken()...)
+}
+
+// Ask reads a part of a member's admin endpoint.
+func (r *Rig) Ask(n int, part string, v any) error {
+	resp, err := r.admin.Get("http://" + r.members[n].admin + "/" + part)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, 16<<20)).Decode(v)
+}
+
+// views asks all members of a group that run and are not frozen, side by side.
+func (r *Rig) views(group []int) map[int]gossip.State {
+	out := map[int]gossip.State{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, n := range group {
+		if p := r.members[n]; p.running() && !p.frozen {
+			all.Go(func() {
+				var s gossip.State
+				if r.Ask(n, "fleet", &s) != nil {
+					s = gossip.State{}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				out[n] = s
+			})
+		}
+	}
+	all.Wait()
+	return out
+}
+
+// Story is what a failing run shows: script, seed, and all logs as one, by time.
+func (r *Rig) Story() string {
+	type line struct {
+		at   time.Time
+		text string
+	}
+	var lines []line
+	for _, n := range r.notes {
+		lines = append(lines, line{n.at, "---- " + n.text})
+	}
+	for _, p := range r.members[1:] {
+		text, _ := os.ReadFile(filepath.Join(p.dir, "log"))
+		last := r.begun
+		for l := range strings.Lines(string(text)) {
+			if rest, ok := strings.CutPrefix(l, "time="); ok {
+				word, _, _ := strings.Cut(rest, " ")
+				if at, err := time.Parse(time.RFC3339, word); err == nil {
+					last = at
+				}
+			}
+			lines = append(lines, line{last, p.name + " " + strings.TrimSpace(l)})
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, script:\n%s\ntime line:\n", r.cfg.Seed, r.script)
+	for _, l := range lines {
+		fmt.Fprintf(&b, "%8.3f %s\n", l.at.Sub(r.begun).Seconds(), l.text)
+	}
+	return b.String()
+}
