Fleet: scripts of the core, frames and sockets tested against broken peers; datagrams hold their size

Need: what the core decides has to be read, and what a broken peer costs has to be bounded. No empty datagrams, no entry twice in one.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -19,6 +19,8 @@
 	Suspect       // did not answer a probe; it has its time to refute
 	Dead          // did not refute
 	Left          // said so itself: final in its life
+	// Unknown is what a name was before it was heard of.
+	Unknown State = 255
 )
 
 func (s State) String() string {
--- /dev/null
+++ b/internal/fleet/gossip/codec_test.go
@@ -0,0 +1,116 @@
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hazelwing/internal/fleet"
+)
+
+var anyAddr = rapid.Custom(func(t *rapid.T) netip.AddrPort {
+	if rapid.Bool().Draw(t, "v6") {
+		return netip.AddrPortFrom(netip.AddrFrom16([16]byte(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "addr"))).Unmap(), rapid.Uint16().Draw(t, "port"))
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "addr"))), rapid.Uint16().Draw(t, "port"))
+})
+
+var anyEntry = rapid.Custom(func(t *rapid.T) fleet.Entry {
+	return fleet.Entry{Name: rapid.String().Draw(t, "name"), Addr: anyAddr.Draw(t, "at"), State: fleet.State(rapid.IntRange(0, 3).Draw(t, "state")),
+		Version: fleet.Version{Life: rapid.Uint64().Draw(t, "life"), Run: rapid.Uint64().Draw(t, "run"), Inc: rapid.Uint64().Draw(t, "inc")},
+		By:      rapid.String().Draw(t, "by"), Age: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "age")) * time.Millisecond}
+})
+
+// What is written is read, and a frame with any one byte changed, or cut anywhere, is told from it.
+func TestFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &fleet.Message{Kind: fleet.Kind(rapid.IntRange(0, 7).Draw(t, "kind")), Fleet: rapid.String().Draw(t, "fleet"), From: anyEntry.Draw(t, "from"),
+			Seq: rapid.Uint64().Draw(t, "seq"), Target: rapid.String().Draw(t, "target"), TargetAddr: anyAddr.Draw(t, "at"),
+			Entries: rapid.SliceOfN(anyEntry, 1, 5).Draw(t, "entries"), Digest: rapid.SliceOfN(rapid.Uint64(), 1, 64).Draw(t, "digest"),
+			Words:   []fleet.Word{{Server: rapid.String().Draw(t, "server"), Gone: rapid.Bool().Draw(t, "gone"), BornMS: 7, By: "b", Age: time.Second}},
+			Buckets: rapid.Uint64().Draw(t, "buckets"), Join: rapid.Bool().Draw(t, "join")}
+		frame, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(frame)
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%v:\n%+v\n%+v", err, got, m)
+		}
+		i := rapid.IntRange(0, len(frame)-1).Draw(t, "byte")
+		if _, err := Decode(frame[:i]); !errors.Is(err, ErrCorrupt) {
+			t.Fatalf("cut at %d: %v", i, err)
+		}
+		frame[i] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		if _, err := Decode(frame); !errors.Is(err, ErrCorrupt) && !errors.Is(err, ErrVersion) {
+			t.Fatalf("byte %d changed: %v", i, err)
+		}
+	})
+}
+
+// FuzzDecode: whatever comes is a message or an error.
+func FuzzDecode(f *testing.F) {
+	frame, _ := Encode(&fleet.Message{Kind: fleet.SyncTell, Fleet: "f", From: fleet.Entry{Name: "a"}, Entries: make([]fleet.Entry, 3)})
+	f.Add(frame)
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		if m, err := Decode(frame); (m == nil) == (err == nil) {
+			t.Fatalf("%v, %v", m, err)
+		}
+	})
+}
+
+// Every datagram stays within its size, also with the longest names, addresses and numbers.
+func TestDatagramsFit(t *testing.T) {
+	long := func(c string, n int) string { return fmt.Sprintf("%s%0*d", strings.Repeat(c, fleet.MostName-8), 8, n) }
+	at := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom16([16]byte{0x20, 1, 13: byte(n >> 16), byte(n >> 8), byte(n)}), 65535)
+	}
+	c, err := fleet.New(fleet.Config{Fleet: strings.Repeat("f", fleet.MostFleet), Name: long("a", 0), Self: at(0), Run: 1 << 63, Seeds: []netip.AddrPort{at(9)}}, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	big := fleet.Version{Life: fleet.MostNumber - 5, Run: 1<<64 - 1, Inc: fleet.MostNumber - 5}
+	kinds, largest := map[fleet.Kind]int{}, 0
+	look := func(list []fleet.Action) {
+		for _, a := range list {
+			if a.Do != fleet.Send || a.Stream {
+				continue
+			}
+			frame, err := Encode(a.Msg)
+			if err != nil || len(frame) > datagramMost {
+				t.Fatalf("kind %d: %d bytes, %v", a.Msg.Kind, len(frame), err)
+			}
+			kinds[a.Msg.Kind]++
+			largest = max(largest, len(frame))
+		}
+	}
+	now := time.Duration(0)
+	for n := 1; n < 200; n++ {
+		from := fleet.Entry{Name: long("b", n), Addr: at(n), Version: big}
+		m := &fleet.Message{Fleet: strings.Repeat("f", fleet.MostFleet), From: from, Seq: 1<<64 - 1, Target: long("a", 0), Kind: fleet.Ping}
+		if n%3 == 0 {
+			m.Kind, m.Target, m.TargetAddr = fleet.PingReq, long("b", n-1), at(n-1)
+		}
+		if n%5 == 0 {
+			m.Entries = []fleet.Entry{{Name: long("b", n-1), Addr: at(n - 1), Version: big, State: fleet.Suspect, By: long("b", n)}}
+		}
+		m.Words = []fleet.Word{{Server: long("s", n), BornMS: 1.7e12 + 0.1, By: long("b", n), Age: 20 * time.Second}}
+		look(c.Receive(now, m))
+		now += 100 * time.Millisecond
+		for c.Next() <= now {
+			look(c.Tick(max(c.Next(), now-100*time.Millisecond)))
+		}
+	}
+	for _, k := range []fleet.Kind{fleet.Ping, fleet.Ack, fleet.Nack, fleet.PingReq, fleet.Gossip} {
+		if kinds[k] == 0 {
+			t.Errorf("no datagram of kind %d was seen", k)
+		}
+	}
+	t.Logf("the largest has %d bytes", largest)
+}
--- a/internal/fleet/hear.go
+++ b/internal/fleet/hear.go
@@ -57,7 +57,7 @@
 		m.suspect(x, e.By, "told by "+e.By)
 	default:
 		m.enter(x)
-		m.note(x, Left, "is new")
+		m.note(x, Unknown, "is new")
 		m.spread.add(newsOf(x.Name))
 	}
 	m.flip(x)
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -19,8 +19,7 @@
 	buckets      = 64 // of a digest
 	entryBytes   = 72 // of an entry on the wire, beside its name: upper bound
 	wordBytes    = 56 // of a word, beside its server's name
-	headerBytes  = 220
-	digestBytes  = 9 * buckets
+	headerBytes  = 300
 	retryTries   = 3 // tries for each dead address in RetryEvery, by the whole fleet together
 	syncAnswers  = 50.0
 	joinFirst    = 200 * time.Millisecond
--- /dev/null
+++ b/internal/fleet/script_test.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// at is the address of a member of the scripts, whose names are letters.
+func at(name string) Address {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, name[0]}), 7946)
+}
+
+// scripted is a member that a script plays with.
+type scripted struct {
+	core *Core
+	now  time.Duration
+	bad  string
+}
+
+// The core's behaviour as scripts: each directive is an event, and under it stand the actions that must come. The words:
+//
+//	new [seeds=(b,c)] [told=N] [KEY=VALUE]   member a, run 100, that probes each second
+//	tick DURATION                            time goes on by it, each Tick at its time
+//	recv KIND from=b [run=N] [life=N] [inc=N] [left] [seq=N] [target=x] [at=x] [buckets=all] [join] [fleet=x]
+//	     with a line for each entry: "c suspect 1.200.0 by=d age=5s", and for each word: "word s1 gone born=5 by=d age=1s"
+//	say SERVER [gone] [born=N]    leave    view    stats
+//
+// A Send is shown as its kind, target and what it carries; what goes out by the gossip of "tick" is shown, too.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := new(scripted)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out := s.do(t, d)
+			if s.bad != "" {
+				d.Fatalf(t, "%s", s.bad)
+			}
+			return out
+		})
+	})
+}
+
+func value(d *datadriven.TestData, key, other string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == key {
+			if len(a.Vals) == 0 {
+				return "yes"
+			}
+			return a.Vals[0]
+		}
+	}
+	return other
+}
+
+func (s *scripted) number(text string) uint64 {
+	n, err := strconv.ParseUint(text, 0, 64)
+	if err != nil {
+		s.bad = err.Error()
+	}
+	return n
+}
+
+func (s *scripted) time(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.bad = err.Error()
+	}
+	return d
+}
+
+func (s *scripted) do(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "new":
+		c := Config{Fleet: "f", Name: "a", Self: at("a"), Run: 100, Seed: 7, Probe: time.Second, SyncEvery: time.Hour, Forget: s.time(value(d, "forget", "1h")),
+			KeepWords: s.time(value(d, "keep", "30s")), Most: int(s.number(value(d, "most", "100"))), RetryEvery: s.time(value(d, "retry", "1h")),
+			Allowed: func(a Address) bool { return a.Addr().Is4() && a.Addr().As4()[0] == 10 }}
+		for _, a := range d.CmdArgs {
+			if a.Key == "seeds" {
+				for _, name := range a.Vals {
+					c.Seeds = append(c.Seeds, at(name))
+				}
+			}
+		}
+		s.now = 0
+		var err error
+		if s.core, err = New(c, 0, int(s.number(value(d, "told", "1")))); err != nil {
+			return err.Error()
+		}
+		return ""
+	case "tick":
+		end := s.now + s.time(d.CmdArgs[0].Key)
+		var out []string
+		for n := 0; s.core.Next() <= end; n++ {
+			if n > 100_000 {
+				t.Fatal("it wants a tick again and again")
+			}
+			s.now = max(s.now, s.core.Next())
+			out = append(out, s.show(s.core.Tick(s.now))...)
+		}
+		s.now = end
+		return lines(out)
+	case "late": // the process stood still: one Tick comes late
+		s.now = s.core.Next() + s.time(d.CmdArgs[0].Key)
+		return lines(s.show(s.core.Tick(s.now)))
+	case "recv":
+		return lines(s.show(s.core.Receive(s.now, s.message(d))))
+	case "say":
+		return lines(s.show(s.core.Say(s.now, Word{Server: d.CmdArgs[0].Key, Gone: value(d, "gone", "") != "", BornMS: float64(s.number(value(d, "born", "0")))})))
+	case "leave":
+		return lines(s.show(s.core.Leave(s.now)))
+	case "view":
+		var out []string
+		for _, m := range s.core.View() {
+			text := fmt.Sprintf("%s %v %s", m.Name, m.State, versionText(m.Version))
+			if m.By != "" {
+				text += " by=" + m.By
+			}
+			out = append(out, text)
+		}
+		return lines(out)
+	case "stats":
+		x := s.core.Stats()
+		return fmt.Sprintf("health %d, live %d, count %d, queue %d, words %d, attic %d, refuted %d, stalls %d, rivals %d, foreign %d, refused %d\n", x.Health, x.Live, x.Count,
+			x.Queue, x.Words, x.Attic, x.Refuted, x.Stalls, x.Rivals, x.Foreign, x.Refused)
+	}
+	t.Fatalf("no directive %s", d.Cmd)
+	return ""
+}
+
+func (s *scripted) message(d *datadriven.TestData) *Message {
+	kind := map[string]Kind{"ping": Ping, "ack": Ack, "nack": Nack, "pingreq": PingReq, "gossip": Gossip, "ask": SyncAsk, "tell": SyncTell, "end": SyncEnd}
+	k, ok := kind[d.CmdArgs[0].Key]
+	if !ok {
+		s.bad = "no kind " + d.CmdArgs[0].Key
+	}
+	from := value(d, "from", "b")
+	m := &Message{Kind: k, Fleet: value(d, "fleet", "f"), From: Entry{Name: from, Addr: at(from)}, Target: value(d, "target", "")}
+	m.From.Version = Version{s.number(value(d, "life", "1")), s.number(value(d, "run", "200")), s.number(value(d, "inc", "0"))}
+	if value(d, "left", "") != "" {
+		m.From.State = Left
+	}
+	switch seq := value(d, "seq", "0"); seq {
+	case "probe": // that of the probe that is on
+		m.Seq = s.core.probe.seq
+	case "relay":
+		m.Seq = s.core.relays[0].seq
+	default:
+		m.Seq = s.number(seq)
+	}
+	if to := value(d, "at", ""); to != "" {
+		m.TargetAddr = at(to)
+	}
+	if k == SyncAsk {
+		m.Digest = make([]uint64, buckets)
+	}
+	if value(d, "buckets", "") != "" {
+		m.Buckets = ^uint64(0)
+	}
+	m.Join = value(d, "join", "") != ""
+	for line := range strings.Lines(d.Input) {
+		words := strings.Fields(line)
+		var by string
+		var age time.Duration
+		var born float64
+		for _, w := range words {
+			key, v, _ := strings.Cut(w, "=")
+			switch key {
+			case "by":
+				by = v
+			case "age":
+				age = s.time(v)
+			case "born":
+				born = float64(s.number(v))
+			}
+		}
+		if words[0] == "word" {
+			m.Words = append(m.Words, Word{Server: words[1], Gone: slices.Contains(words, "gone"), BornMS: born, By: by, Age: age})
+			continue
+		}
+		e := Entry{Name: words[0], Addr: at(words[0]), By: by, Age: age}
+		if err := e.State.UnmarshalText([]byte(words[1])); err != nil {
+			s.bad = err.Error()
+		}
+		part := strings.Split(words[2], ".")
+		e.Version = Version{s.number(part[0]), s.number(part[1]), s.number(part[2])}
+		m.Entries = append(m.Entries, e)
+	}
+	return m
+}
+
+func versionText(v Version) string { return fmt.Sprintf("%d.%d.%d", v.Life, v.Run, v.Inc) }
+
+var kindText = [...]string{"ping", "ack", "nack", "pingreq", "gossip", "ask", "tell", "end"}
+
+func (s *scripted) show(list []Action) (out []string) {
+	for _, a := range list {
+		switch a.Do {
+		case Noted:
+			n := a.Note
+			out = append(out, fmt.Sprintf("note %s %s %v -> %v: %s", n.Name, versionText(n.Version), n.Was, n.Now, n.Why))
+		case Told:
+			out = append(out, fmt.Sprintf("told %s gone=%v by=%s", a.Word.Server, a.Word.Gone, a.Word.By))
+		case Unsaid:
+			out = append(out, "unsaid "+a.Word.Server)
+		case Counted:
+			out = append(out, fmt.Sprint("count ", a.Count))
+		case Send:
+			m := a.Msg
+			to := string(rune(a.To.Addr().As4()[3]))
+			text := fmt.Sprintf("%s to %s as %s", kindText[m.Kind], to, versionText(m.From.Version))
+			if m.From.State != Alive {
+				text += " " + m.From.State.String()
+			}
+			if m.Target != "" {
+				text += " target " + m.Target
+			}
+			if a.Stream {
+				text += " stream"
+			}
+			if m.Join {
+				text += " join"
+			}
+			for _, e := range m.Entries {
+				text += fmt.Sprintf(" [%s %v %s", e.Name, e.State, versionText(e.Version))
+				if e.By != "" {
+					text += " by=" + e.By
+				}
+				text += "]"
+			}
+			for _, w := range m.Words {
+				text += fmt.Sprintf(" [word %s gone=%v by=%s]", w.Server, w.Gone, w.By)
+			}
+			out = append(out, text)
+		}
+	}
+	return out
+}
+
+func lines(out []string) string {
+	if len(out) == 0 {
+		return "nothing\n"
+	}
+	return strings.Join(out, "\n") + "\n"
+}
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // news is what is spread: a member's entry or a server's word, as it stands when a datagram is made, so that nothing old is
 // sent on.
 type news struct {
@@ -84,7 +86,7 @@
 func (m *Core) load(msg *Message) {
 	room := m.cfg.Datagram - headerBytes
 	for i := range msg.Entries {
-		room -= entryBytes + len(msg.Entries[i].Name)
+		room -= entryBytes + len(msg.Entries[i].Name) + len(msg.Entries[i].By)
 	}
 	if m.spread.len() == 0 {
 		return
@@ -99,12 +101,15 @@
 			if w == nil {
 				return true, true // it is old by now
 			}
-			if room -= wordBytes + len(n.server); room < 0 {
+			if room -= wordBytes + len(n.server) + len(w.By); room < 0 {
 				return false, false
 			}
 			msg.Words = append(msg.Words, m.wordOf(w))
 			return true, true
 		}
+		if slices.ContainsFunc(msg.Entries, func(e Entry) bool { return e.Name == n.member }) {
+			return true, true // it is what the message was made for
+		}
 		e := m.me // its own entry is in the header, too; behind it others pass it on
 		if n.member != m.me.Name {
 			x := m.members[n.member]
@@ -127,6 +132,9 @@
 		return
 	}
 	for _, x := range m.pick(m.cfg.GossipTo, nil) {
+		if m.spread.len() == 0 {
+			return // all was told often enough
+		}
 		m.send(x.Addr, &Message{Kind: Gossip})
 	}
 }
--- a/internal/lab/fleetsim/fleetsim.go
+++ b/internal/lab/fleetsim/fleetsim.go
@@ -69,6 +69,8 @@
 	Noted func(member int, n fleet.Note)
 	// Acted is called with all other actions that are not sends.
 	Acted func(member int, a fleet.Action)
+	// Sent is called with each message that a member sends.
+	Sent func(member int, a fleet.Action)
 	// Handled is how many calls of Cores there were.
 	Handled int
 }
@@ -231,6 +233,9 @@
 func (f *Fleet) send(from int, a fleet.Action) {
 	m := f.Members[from]
 	m.Sent++
+	if f.Sent != nil {
+		f.Sent(from, a)
+	}
 	if f.cfg.Size != nil {
 		m.Bytes += f.cfg.Size(a.Msg)
 	}
