--- a/internal/standin/rig/links.go
+++ b/internal/standin/rig/links.go
@@ -21,6 +21,9 @@
 	Corrupt float64 // of datagrams in which a byte is changed
 }
 
+// discovery is the number under which members see it.
+const discovery = 250
+
 // The members listen on 127.77.0.N; what member I sends to member J goes to 127.(100+I).0.J, where the link of this direction
 // listens. So each direction of each pair is a link of its own, without privileges.
 func realAddr(j int) netip.Addr     { return netip.AddrFrom4([4]byte{127, 77, 0, byte(j)}) }
@@ -43,8 +46,9 @@
 	conns   map[net.Conn]bool
 }
 
-func newLink(i, j int, port uint16, seed uint64) (*link, error) {
-	l := &link{to: netip.AddrPortFrom(realAddr(j), port), rng: rand.New(rand.NewPCG(seed, uint64(i)<<16|uint64(j))),
+// newLink listens where member i sees j, and carries to an address.
+func newLink(i, j int, port uint16, to netip.AddrPort, seed uint64) (*link, error) {
+	l := &link{to: to, rng: rand.New(rand.NewPCG(seed, uint64(i)<<16|uint64(j))),
 		changed: make(chan struct{}), done: make(chan struct{}), conns: map[net.Conn]bool{}}
 	at := netip.AddrPortFrom(seenAddr(i, j), port)
 	var err error
@@ -177,7 +181,7 @@
 	}
 }
 
-// stream carries what one side writes; a connection of the fleet's goes one way.
+// stream carries what both sides write, as the link lets it.
 func (l *link) stream(from net.Conn) {
 	defer l.release(from)
 	if !l.open() {
@@ -189,24 +193,37 @@
 	}
 	l.hold(to)
 	defer l.release(to)
+	back := make(chan struct{})
+	go func() {
+		defer close(back)
+		l.carry(to, from)
+	}()
+	l.carry(from, to)
+	<-back
+}
+
+func (l *link) carry(from, to net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			if !l.open() {
-				return
+				break
 			}
 			if _, err := to.Write(buf[:n]); err != nil {
-				return
+				break
 			}
 		}
 		if err != nil {
-			if err == io.EOF {
-				to.(*net.TCPConn).CloseWrite()
+			if c, ok := to.(*net.TCPConn); ok && err == io.EOF {
+				c.CloseWrite()
+				return
 			}
-			return
+			break
 		}
 	}
+	from.Close()
+	to.Close()
 }
 
 func (l *link) close() {
@@ -229,7 +246,7 @@
 			if i == j {
 				continue
 			}
-			l, err := newLink(i, j, ports[j], seed)
+			l, err := newLink(i, j, ports[j], netip.AddrPortFrom(realAddr(j), ports[j]), seed)
 			if err != nil {
 				for _, l := range all {
 					l.close()
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -152,7 +153,11 @@
 		defer l.Close()
 		*at = l.Addr().String()
 	}
-	text, err := standin.Platform(traffic, p.listen, r.Servers.Discovery.Addr(), fmt.Sprintf("%016x", r.cfg.Seed*1000+uint64(p.n)))
+	at, err := r.toDiscovery(p)
+	if err != nil {
+		return err
+	}
+	text, err := standin.Platform(traffic, p.listen, at, fmt.Sprintf("%016x", r.cfg.Seed*1000+uint64(p.n)))
 	if err != nil {
 		return err
 	}
@@ -173,6 +178,24 @@
 	return r.configure(p)
 }
 
+// toDiscovery is a link of the member's own to discovery.
+func (r *Rig) toDiscovery(p *process) (string, error) {
+	to, err := netip.ParseAddrPort(r.Servers.Discovery.Addr())
+	if err != nil {
+		return "", err
+	}
+	port, err := freePort(seenAddr(p.n, discovery).String())
+	if err != nil {
+		return "", err
+	}
+	l, err := newLink(p.n, discovery, port, to, r.cfg.Seed)
+	if err != nil {
+		return "", err
+	}
+	r.links[[2]int{p.n, discovery}] = l
+	return netip.AddrPortFrom(seenAddr(p.n, discovery), port).String(), nil
+}
+
 // configure writes a member's operator's file, with the seeds of now.
 func (r *Rig) configure(p *process) error {
 	name := "rig"
--- a/internal/standin/rig/script.go
+++ b/internal/standin/rig/script.go
@@ -67,6 +67,15 @@
 		return r.cut(words[0], arg(1), arg(2))
 	case "flap":
 		return r.flap(ctx, arg(1), arg(2), arg(3), arg(4))
+	case "discovery":
+		group, err := r.group(arg(1))
+		if err != nil {
+			return err
+		}
+		for _, n := range group {
+			r.links[[2]int{n, discovery}].change(func(w *Weather) { w.Cut = arg(2) == "cut" })
+		}
+		return nil
 	case "server":
 		return r.Servers.Fault(standin.Fault{Node: arg(1), Verb: arg(2)})
 	}
