--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"hazelwing/internal/engine"
+	"hazelwing/internal/fleet"
+	"hazelwing/internal/operator"
+	"hazelwing/internal/standin/fixture"
+)
+
+// fleetTable is an operator's file with [fleet] on loopback.
+func fleetTable(t *testing.T, more string) *operator.Config {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().String()
+	l.Close()
+	op, err := operator.Parse([]byte(fmt.Sprintf("[fleet]\nname = \"f\"\nlisten = %q\nseeds = [%q]\nnetworks = [\"127.0.0.0/8\"]\n%s", at, at, more)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return op
+}
+
+// Without [fleet] nothing of it is there: no source before the engine, no socket, no goroutine.
+func TestWithoutFleet(t *testing.T) {
+	goroutines := func(op *operator.Config) int {
+		before := runtime.NumGoroutine()
+		s, err := build(config(t, fixture.NoAddr, fixture.NoAddr), op, quietLog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.close()
+		if on := op.Fleet != nil; (s.fleet != nil) != on || (s.members != nil) != on || (s.parts()["fleet"] != nil) != on {
+			t.Errorf("fleet on: %v; the sidecar has %v, %v", on, s.fleet, s.members)
+		}
+		return runtime.NumGoroutine() - before
+	}
+	if n := goroutines(new(operator.Config)); n != 0 {
+		t.Errorf("%d goroutines before Run without [fleet]", n)
+	}
+	goroutines(fleetTable(t, ""))
+	if s, err := build(config(t, fixture.NoAddr, fixture.NoAddr), fleetTable(t, "no_words = true\n"), quietLog); err != nil || s.members != nil {
+		t.Errorf("no_words: %v, %v", err, s.members)
+	} else {
+		s.close()
+	}
+}
+
+// What others were told takes a server out and never adds one; held to the merge's share; and given back when the word is old.
+func TestWordsTakeOut(t *testing.T) {
+	op := fleetTable(t, "")
+	p, err := openFleet(op.Fleet, config(t, fixture.NoAddr, fixture.NoAddr), 1, quietLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.node.Close()
+	var known []engine.Member
+	for i := range 10 {
+		known = append(known, engine.Member{ID: fmt.Sprint("s", i), Addr: fmt.Sprintf("127.0.0.1:%d", 100+i), BornMS: 1000})
+	}
+	s, err := openMembers(nil, p, quiet{}, known, 1, quietLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() { s.Run(ctx); close(ran) }()
+	defer func() { end(); <-ran }()
+	stop := s.Watch(engine.NoVersion, 0, func(engine.News) {})
+	defer stop()
+	out := func() (list []string) {
+		for _, x := range s.State() {
+			if !x.In {
+				list = append(list, x.ID)
+			}
+		}
+		return list
+	}
+	fixture.Until(t, "all are listed", func() bool { return len(s.State()) == 10 && len(out()) == 0 })
+	p.heard(fleet.Word{Server: "s1", Gone: true, BornMS: 1000, By: "b"}, true)
+	p.heard(fleet.Word{Server: "stranger", By: "b"}, true)
+	fixture.Until(t, "what left is out", func() bool { return strings.Join(out(), " ") == "s1" })
+	// A liar says that all have left: the share of 0.3 holds.
+	for i := range 10 {
+		p.heard(fleet.Word{Server: fmt.Sprint("s", i), Gone: true, BornMS: 1000, By: "liar"}, true)
+	}
+	fixture.Until(t, "the share is out", func() bool { return len(out()) == 3 })
+	for _, x := range s.State() {
+		if x.ID == "stranger" {
+			t.Errorf("a word brought in a server: %+v", x)
+		}
+	}
+	for i := range 10 {
+		p.heard(fleet.Word{Server: fmt.Sprint("s", i), Gone: true, BornMS: 1000, By: "liar"}, false)
+	}
+	fixture.Until(t, "old words hold no more", func() bool { return len(out()) == 0 })
+}
+
+// quiet is a discovery that says nothing.
+type quiet struct{}
+
+func (quiet) Watch(int64, time.Duration, func(engine.News)) context.CancelFunc { return func() {} }
+
+// The number of sidecars reaches the module in place of the setting, also where it was known before the engine was there.
+func TestCountReachesTheEngine(t *testing.T) {
+	p := new(fleetPart)
+	p.counted(7)
+	var got []int
+	p.onCount(func(n int) { got = append(got, n) })
+	p.counted(9)
+	if fmt.Sprint(got) != "[7 9]" {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -48,6 +48,7 @@
 	joinPause time.Duration
 	joined    bool
 	syncSoon  time.Duration // no other sync of its own choice before
+	syncBusy  time.Duration // no other one for the sake of much news before
 	tokens    float64       // syncs that may be answered
 	refilled  time.Duration
 	rivals    []time.Duration // when a rival made it take the next life
@@ -88,7 +89,7 @@
 	return time.Duration(float64(d) * (0.75 + 0.5*m.rng.Float64()))
 }
 
-func (m *Core) sweepEvery() time.Duration { return min(m.cfg.Probe, m.cfg.KeepWords/8, m.cfg.Forget/8) }
+func (m *Core) sweepEvery() time.Duration { return min(m.cfg.KeepWords/8, m.cfg.Forget/8) }
 
 // Receive takes a message, Tick the time that Next asked for; Say tells a word of this member's own sources; Leave says
 // that this process ends. Each answers with what is to be done. now never goes back; if it does, it is taken for the last.
@@ -359,6 +360,9 @@
 func (m *Core) Live() int        { return m.n() }
 func (m *Core) Version() Version { return m.me.Version }
 
+// Fingerprint is of who is thought to live, this member included: equal views have equal ones.
+func (m *Core) Fingerprint() (live int, digest [buckets]uint64) { return m.n(), [buckets]uint64(m.withMe()) }
+
 // Stats is what was counted.
 func (m *Core) Stats() Stats {
 	s := m.stats
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -131,6 +131,12 @@
 	if m.spread.len() == 0 {
 		return
 	}
+	if m.spread.len() > syncAbove && m.now >= m.syncBusy {
+		m.syncBusy = m.now + syncBusy*m.cfg.Gossip
+		if x := m.pick(1, nil); len(x) > 0 {
+			m.ask(x[0].Addr, false)
+		}
+	}
 	for _, x := range m.pick(m.cfg.GossipTo, nil) {
 		if m.spread.len() == 0 {
 			return // all was told often enough
--- a/internal/lab/fleetsim/fleetsim.go
+++ b/internal/lab/fleetsim/fleetsim.go
@@ -308,7 +308,24 @@
 
 // Agreed says whether each running member of the group sees exactly the running ones of it as alive, in their latest lives.
 // A nil group is all.
-func (f *Fleet) Agreed(group func(int) bool) bool { return f.Disagreement(group) == "" }
+func (f *Fleet) Agreed(group func(int) bool) bool {
+	// Views are compared whole only once their fingerprints agree: that costs as much as the square of the members.
+	var first *fleet.Core
+	for i, m := range f.Members {
+		core, ok := m.Core.(*fleet.Core)
+		if !ok || group != nil && !group(i) {
+			continue
+		}
+		if first == nil {
+			first = core
+		}
+		n, d := core.Fingerprint()
+		if live, digest := first.Fingerprint(); live != n || digest != d {
+			return false
+		}
+	}
+	return f.Disagreement(group) == ""
+}
 
 // Disagreement is the first difference between a view and what is true, in words.
 func (f *Fleet) Disagreement(group func(int) bool) string {
