--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -361,7 +361,9 @@
 func (m *Core) Version() Version { return m.me.Version }
 
 // Fingerprint is of who is thought to live, this member included: equal views have equal ones.
-func (m *Core) Fingerprint() (live int, digest [buckets]uint64) { return m.n(), [buckets]uint64(m.withMe()) }
+func (m *Core) Fingerprint() (live int, digest [buckets]uint64) {
+	return m.n(), [buckets]uint64(m.withMe())
+}
 
 // Stats is what was counted.
 func (m *Core) Stats() Stats {
--- a/internal/fleet/sync.go
+++ b/internal/fleet/sync.go
@@ -102,13 +102,16 @@
 // try one each time.
 func (m *Core) retry() {
 	var dead []*member
-	lives := map[Address]bool{m.me.Addr: true}
+	others := map[Address]bool{}
+	for _, at := range append(slices.Clone(m.attic), m.cfg.Seeds...) {
+		others[at] = at != m.me.Addr
+	}
 	for _, x := range m.members {
 		switch {
 		case x.State == Dead:
 			dead = append(dead, x)
-		case x.live >= 0:
-			lives[x.Addr] = true
+		case x.live >= 0 && others[x.Addr]:
+			others[x.Addr] = false
 		}
 	}
 	slices.SortFunc(dead, func(a, b *member) int {
@@ -117,14 +120,14 @@
 		}
 		return 1
 	})
-	m.attic = slices.DeleteFunc(m.attic, func(at Address) bool { return lives[at] })
-	others := slices.Clone(m.attic)
+	m.attic = slices.DeleteFunc(m.attic, func(at Address) bool { return !others[at] })
+	missing := slices.Clone(m.attic)
 	for _, at := range m.cfg.Seeds {
-		if !lives[at] {
-			others = append(others, at)
+		if others[at] && !slices.Contains(missing, at) {
+			missing = append(missing, at)
 		}
 	}
-	all := len(dead) + len(others)
+	all := len(dead) + len(missing)
 	if all == 0 || m.rng.Float64()*float64(m.n()) >= float64(retryTries*all) {
 		return
 	}
@@ -132,7 +135,7 @@
 	msg := &Message{Kind: Ping, Seq: m.seq}
 	i := m.rng.IntN(all)
 	if i >= len(dead) {
-		m.send(others[i-len(dead)], msg)
+		m.send(missing[i-len(dead)], msg)
 		return
 	}
 	msg.Target, msg.Entries = dead[i].Name, []Entry{m.entry(dead[i])}
--- a/internal/lab/fleetsim/fleetsim.go
+++ b/internal/lab/fleetsim/fleetsim.go
@@ -46,6 +46,7 @@
 	Core   Contestant // nil: it does not run
 	Slow   float64    // chance that a message or a tick is handled SlowBy late
 	SlowBy time.Duration
+	Clock  time.Duration // what its clock shows beyond the fleet's
 
 	lives          uint64
 	frozen         time.Duration // until
@@ -118,9 +119,9 @@
 		c.Seeds = append(c.Seeds, Addr(s))
 	}
 	if f.cfg.New != nil {
-		m.Core = f.cfg.New(c, f.Now)
+		m.Core = f.cfg.New(c, f.Now+m.Clock)
 	} else {
-		core, err := fleet.New(c, f.Now, f.cfg.Told)
+		core, err := fleet.New(c, f.Now+m.Clock, f.cfg.Told)
 		if err != nil {
 			panic(err) // the experiment's own mistake
 		}
@@ -140,7 +141,7 @@
 		all = append(all, fleet.Entry{Name: m.Name, Addr: m.Addr, Version: m.Core.(interface{ Version() fleet.Version }).Version()})
 	}
 	for i := range f.Members {
-		f.act(i, f.Members[i].Core.Receive(f.Now, &fleet.Message{Kind: fleet.SyncTell, Fleet: f.cfg.Core.Fleet, From: all[(i+1)%len(all)], Entries: all}))
+		f.act(i, f.Members[i].Core.Receive(f.Now+f.Members[i].Clock, &fleet.Message{Kind: fleet.SyncTell, Fleet: f.cfg.Core.Fleet, From: all[(i+1)%len(all)], Entries: all}))
 		f.schedule(i)
 	}
 }
@@ -157,7 +158,7 @@
 
 // Leave ends one that says so.
 func (f *Fleet) Leave(i int) {
-	f.act(i, f.Members[i].Core.Leave(f.Now))
+	f.act(i, f.Members[i].Core.Leave(f.Now+f.Members[i].Clock))
 	f.Kill(i)
 }
 
@@ -202,10 +203,10 @@
 	var acts []fleet.Action
 	if e.msg == nil {
 		m.tick = nil
-		acts = m.Core.Tick(f.Now)
+		acts = m.Core.Tick(f.Now + m.Clock)
 	} else {
 		m.Received++
-		acts = m.Core.Receive(f.Now, e.msg)
+		acts = m.Core.Receive(f.Now+m.Clock, e.msg)
 	}
 	f.act(e.to, acts)
 	f.schedule(e.to)
@@ -273,7 +274,7 @@
 // schedule has a member's next tick in the queue.
 func (f *Fleet) schedule(i int) {
 	m := f.Members[i]
-	at := max(m.Core.Next(), f.Now+time.Microsecond)
+	at := max(m.Core.Next()-m.Clock, f.Now+time.Microsecond)
 	if m.tick != nil {
 		if m.tick.at == at {
 			return
--- a/internal/lab/fleetsim/fleetsim_test.go
+++ b/internal/lab/fleetsim/fleetsim_test.go
@@ -131,6 +131,81 @@
 	agree(t, f, 90*time.Second, nil, "after the cut")
 }
 
+// Ten joins and ten deaths a second for a minute, and then the view is whole; nobody's table grows beyond the names there were.
+func TestTenJoinsAndDeathsASecond(t *testing.T) {
+	f := New(Config{Members: 60, Seed: 5})
+	for i := range 30 {
+		f.Start(i, 0, 1)
+	}
+	f.Run(5 * time.Second)
+	for range 600 {
+		up, down := []int{}, []int{}
+		for i, m := range f.Members {
+			switch {
+			case i < 2: // the seeds stay
+			case m.Core != nil:
+				up = append(up, i)
+			default:
+				down = append(down, i)
+			}
+		}
+		f.Kill(up[f.rng.IntN(len(up))])
+		f.Start(down[f.rng.IntN(len(down))], 0, 1)
+		f.Run(100 * time.Millisecond)
+	}
+	t.Log(agree(t, f, 2*time.Minute, nil, "after the churn"))
+}
+
+// Clocks that differ by minutes change nothing: no time of one member is compared with another's.
+func TestClocksDiffer(t *testing.T) {
+	f := New(Config{Members: 12, Seed: 6})
+	for i, m := range f.Members {
+		m.Clock = time.Duration(i) * 7 * time.Minute
+		f.Start(i, 0)
+	}
+	agree(t, f, 30*time.Second, nil, "with clocks that differ")
+	f.Kill(3)
+	f.Members[3].Clock = 0 // it comes back with a clock far behind
+	f.Start(3, 1)
+	agree(t, f, 30*time.Second, nil, "after one came back in the past")
+	f.Kill(4)
+	agree(t, f, 90*time.Second, nil, "after a death")
+}
+
+// A member that was told ten times too many or too few reckons with the fleet as it is: at once where there are more, late
+// where there are fewer; and half a fleet that is cut off goes on reckoning with all.
+func TestCountInACut(t *testing.T) {
+	for _, told := range []int{2, 20, 200} {
+		f := all(t, Config{Members: 20, Seed: 7, Told: told})
+		count := func(i int) int { return f.Members[i].Core.(*fleet.Core).Stats().Count }
+		if told <= 20 && count(0) != 20 {
+			t.Errorf("told %d: %d before the cut", told, count(0))
+		}
+		f.Run(5 * time.Minute)
+		if n := count(0); n != 20 {
+			t.Errorf("told %d: %d after five minutes", told, n)
+		}
+		f.Linked = halves(f)
+		for range 50 {
+			f.Run(time.Minute)
+			for i := range f.Members {
+				if count(i) < 20 {
+					t.Fatalf("told %d, %v: member %d reckons with %d of 20 while the fleet is cut", told, f.Now, i, count(i))
+				}
+			}
+		}
+		f.Linked = nil
+		agree(t, f, time.Minute, nil, "after the cut")
+		for i := range 6 { // real deaths, fewer than a third: let go of after a minute
+			f.Kill(i)
+		}
+		f.Run(4 * time.Minute)
+		if n := count(19); n != 14 {
+			t.Errorf("told %d: %d four minutes after six of twenty died", told, n)
+		}
+	}
+}
+
 // No live member stays dead in a view once links hold, views converge, and lives never go back, whatever the history.
 func TestRandomHistories(t *testing.T) {
 	for n := range *histories {
--- a/internal/lab/world/wrong_test.go
+++ b/internal/lab/world/wrong_test.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -69,6 +70,62 @@
 	}
 }
 
+var worth = flag.Bool("worth", false, "TestWorthOfTheNumber: measure what a wrong number of 300 sidecars costs, and the fleet's own view of it gives back (minutes)")
+
+// viewed is the module with the number of sidecars that the fleet's view tells half a second after the start: the right one where
+// the setting is lower, and in the length of a run still the setting where that is higher (fleet's counter falls by a half a minute).
+type viewed struct {
+	*balancer.Balancer
+	n    int
+	done bool
+}
+
+func (v *viewed) Handle(now time.Duration, e balancer.Event, acts []balancer.Action) []balancer.Action {
+	if !v.done && now > past+500*time.Millisecond {
+		v.done = true
+		v.SetBalancers(v.n)
+	}
+	return v.Balancer.Handle(now, e, acts)
+}
+
+// What the number of sidecars is worth at 300 of them, told right, wrong, and wrong but mended by the view:
+//
+//	go test ./internal/lab/world -run WorthOfTheNumber -worth -v
+func TestWorthOfTheNumber(t *testing.T) {
+	if !*worth {
+		t.Skip("a measurement: -worth")
+	}
+	const instances, nodes, seeds = 300, 80, 5
+	for _, c := range []struct {
+		name  string
+		told  int
+		after int // by the view; 0: there is none
+	}{{"right", instances, 0}, {"a tenth", instances / 10, 0}, {"ten times", instances * 10, 0}, {"a tenth, view", instances / 10, instances},
+		{"ten times, view", instances * 10, instances * 10}, {"ten times, view of an hour", instances * 10, instances}, {"half, as a cut would tell", instances / 2, 0}} {
+		var service, cold, conns float64
+		for seed := range uint64(seeds) {
+			r, err := Run(replaced(instances, nodes, 1), func(s balancer.Settings, _ int, seed uint64) (Policy, error) {
+				s.Balancers = c.told
+				b, err := balancer.New(s, seed)
+				if err != nil || c.after == 0 {
+					return b, err
+				}
+				return &viewed{Balancer: b, n: c.after}, nil
+			}, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			service += r.Service / seeds
+			cold = max(cold, r.Cold)
+			conns = max(conns, float64(r.Conns))
+			if r.Breaks > 0 {
+				t.Errorf("%s, seed %d: %q", c.name, seed, r.Broken)
+			}
+		}
+		t.Logf("%-28s service %.3f, cold %.2f, connections a server %.0f", c.name, service, cold, conns)
+	}
+}
+
 // A zone with half as much traffic again as the others sends its cold servers no more than they bear: most of a subset is from
 // home, and nobody tells a sidecar how busy its zone is.
 func TestColdServersOfABusyZone(t *testing.T) {
