Fleet: the command and the bounds tested on processes; a measurement of detection and healing among them

Need: the command's statuses, what GET /bounds shows, and times over many runs. Scripts allow for what has been forgotten meanwhile: on a slow machine a death may be older than that when all have heard of it.

--- a/cmd/hazelwing/fleet_test.go
+++ b/cmd/hazelwing/fleet_test.go
@@ -1,12 +1,20 @@
 package main
 
 import (
+	"encoding/json"
 	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
+	"hazelwing/internal/fleet"
+	"hazelwing/internal/fleet/gossip"
 	"hazelwing/internal/standin/rig"
 )
 
@@ -17,7 +25,7 @@
 )
 
 // fastFleet are times that let a script of many faults pass within seconds.
-const fastFleet = "probe = \"250ms\"\ntimeout = \"120ms\"\ngossip = \"40ms\"\nsync = \"2s\"\nretry = \"500ms\"\nforget = \"10s\"\nkeep_words = \"8s\"\n"
+const fastFleet = "probe = \"250ms\"\ntimeout = \"120ms\"\ngossip = \"40ms\"\nsync = \"2s\"\nretry = \"500ms\"\nforget = \"6s\"\nkeep_words = \"8s\"\n"
 
 // newFleetRig makes one of this test's own program.
 func newFleetRig(t *testing.T, members int, seed uint64, c rig.Config) *rig.Rig {
@@ -78,3 +86,78 @@
 		})
 	}
 }
+
+// The command shows the view of a running sidecar, and says by its status whether all is well.
+func TestFleetCommand(t *testing.T) {
+	r := newFleetRig(t, 3, 1, rig.Config{})
+	playFleet(t, r, "start all\nsettle 1s 30s")
+	out, err := execute("fleet", "--admin", r.Admin(1))
+	if err != nil || !strings.Contains(out, "m01 (itself)") || !strings.Contains(out, "3 live of 3 known, reckons with 3") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	out, err = execute("fleet", "--json", "--admin", r.Admin(2))
+	var s gossip.State
+	if other := json.Unmarshal([]byte(out), &s); err != nil || other != nil || s.Name != "m02" || len(s.Members) != 3 || s.Members[0].State != fleet.Alive {
+		t.Errorf("%v, %v\n%s", err, other, out)
+	}
+	if err := r.Play(t.Context(), "kill 3\nwait state 3 dead 30s 1-2"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = execute("fleet", "--admin", r.Admin(1)); err == nil || err.(exitStatus).status != unsettled {
+		t.Errorf("with a dead member: %v", err)
+	}
+	if _, err := execute("fleet", "--admin", r.Admin(3)); err == nil {
+		t.Error("one that does not run was asked")
+	}
+	if _, err := execute("fleet", "--operator", ""); err == nil || !strings.Contains(err.Error(), "--admin or --operator") {
+		t.Errorf("without an address: %v", err)
+	}
+	var bounds []struct{ Bound string }
+	if err := r.Ask(1, "bounds", &bounds); err != nil || !slices.ContainsFunc(bounds, func(b struct{ Bound string }) bool { return b.Bound == "members of the fleet" }) {
+		t.Errorf("%v, %+v", err, bounds)
+	}
+}
+
+var fleetTimes = flag.Int("fleet.times", 0, "TestFleetTimes: how many runs of each fault; 0: it is skipped")
+
+// How long detection, spreading and healing take among real processes:
+//
+//	go test ./cmd/hazelwing -run FleetTimes -fleet.times 100 -timeout 2h -v
+func TestFleetTimes(t *testing.T) {
+	if *fleetTimes == 0 {
+		t.Skip("a measurement: -fleet.times")
+	}
+	r := newFleetRig(t, *fleetSize, *fleetSeed, rig.Config{})
+	half := *fleetSize / 2
+	all := map[string][]time.Duration{}
+	play := func(script string, names ...string) {
+		r.Took = nil
+		if err := r.Play(t.Context(), script); err != nil {
+			t.Fatalf("%v\n%s", err, r.Story())
+		}
+		for i, w := range r.Took {
+			if i < len(names) && names[i] != "" {
+				all[names[i]] = append(all[names[i]], w.Took)
+			}
+		}
+	}
+	play("start all\nsettle 1s 30s")
+	rng := rand.New(rand.NewPCG(*fleetSeed, 5))
+	for range *fleetTimes {
+		n := 1 + rng.IntN(*fleetSize)
+		play(fmt.Sprintf("kill %d\nwait state %d dead|unknown 60s\nstart %d\nwait agree 60s", n, n, n), "a death is known to all", "a new life is known to all")
+		play(fmt.Sprintf("restart %d 0ms\nwait agree 60s", n), "a restart at once is known to all")
+		play(fmt.Sprintf("term %d\nwait state %d left|unknown 60s\nstart %d\nwait agree 60s", n, n, n), "a leaving is known to all", "")
+		play(fmt.Sprintf("freeze %d\nwait state %d suspect|dead 60s\nthaw %d\nwait agree 60s", n, n, n), "one that stands still is suspected by all", "one that stood still is back for all")
+		play(fmt.Sprintf("cut 1-%d %d-%d\nwait agree 60s 1-%d\nwait agree 60s %d-%d\nheal\nwait agree 60s", half, half+1, *fleetSize, half, half+1, *fleetSize), "", "", "halves are one again")
+	}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		list := slices.Sorted(slices.Values(all[name]))
+		t.Logf("| %s | %d | %.2f | %.2f | %.2f |", name, len(list), list[len(list)/2].Seconds(), list[len(list)*99/100].Seconds(), list[len(list)-1].Seconds())
+	}
+	for _, f := range r.Faults() {
+		t.Error(f)
+	}
+	a := &r.Answers
+	t.Logf("served %d, refused %d, failed %d, broken off %d", a.Served.Load(), a.Refused.Load(), a.Failed.Load(), a.Broken.Load())
+}
--- a/cmd/hazelwing/store_test.go
+++ b/cmd/hazelwing/store_test.go
@@ -108,7 +108,7 @@
 	}
 	dir := t.TempDir()
 	for name, text := range map[string]string{"booking.graphql": "type Query { seats(train: ID!): Int }\ninput I { token: String }\ntype Mutation { confirmBooking(input: I): Int }",
-		"documents.json": `{"home": "{ seats(train: 1) }"}`} {
+		"seeds": "10.0.0.6:7946 # the second\n", "documents.json": `{"home": "{ seats(train: 1) }"}`} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,7 +71,7 @@
 	}
 	var source engine.Source = watch.New(cfg.Discovery, set.MustSubscribe, log)
 	if op.Fleet != nil {
-		if s.fleet, err = openFleet(op.Fleet, cfg, set.Balancers, log); err != nil {
+		if s.fleet, err = openFleet(op.Fleet, cfg, set.Balancers, bounds, log); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hazelwing/balancer"
+	"hazelwing/internal/bound"
 	"hazelwing/internal/engine"
 	"hazelwing/internal/fleet"
 	"hazelwing/internal/fleet/gossip"
@@ -39,13 +40,14 @@
 }
 
 // openFleet listens; nothing is sent before run.
-func openFleet(op *operator.Fleet, cfg *platform.Config, told int, log *slog.Logger) (*fleetPart, error) {
+func openFleet(op *operator.Fleet, cfg *platform.Config, told int, bounds *bound.Set, log *slog.Logger) (*fleetPart, error) {
 	p := &fleetPart{said: make(chan saidWord, wordsWaiting)}
-	c := gossip.Config{Told: told, Listen: op.Listen, Allowed: op.Allowed, Log: log, OnWord: p.heard, OnCount: p.counted, Core: fleet.Config{
-		Fleet: op.Name, Name: cfg.Name, Self: op.Self, Seeds: op.Peers, Seed: uint64(cfg.Seed),
-		Probe: time.Duration(op.Probe), Timeout: time.Duration(op.Timeout), Gossip: time.Duration(op.Gossip), SyncEvery: time.Duration(op.Sync),
-		RetryEvery: time.Duration(op.Retry), Forget: time.Duration(op.Forget), KeepWords: time.Duration(op.KeepWords), Indirect: int(op.Indirect),
-		Suspicion: op.Suspicion, Most: int(op.Most)}}
+	c := gossip.Config{Told: told, Listen: op.Listen, Allowed: op.Allowed, Log: log, OnWord: p.heard, OnCount: p.counted,
+		TableFull: bounds.Add("members of the fleet", int(op.Most)), QueueFull: bounds.Add("messages of the fleet that wait", gossip.QueueLength), Core: fleet.Config{
+			Fleet: op.Name, Name: cfg.Name, Self: op.Self, Seeds: op.Peers, Seed: uint64(cfg.Seed),
+			Probe: time.Duration(op.Probe), Timeout: time.Duration(op.Timeout), Gossip: time.Duration(op.Gossip), SyncEvery: time.Duration(op.Sync),
+			RetryEvery: time.Duration(op.Retry), Forget: time.Duration(op.Forget), KeepWords: time.Duration(op.KeepWords), Indirect: int(op.Indirect),
+			Suspicion: op.Suspicion, Most: int(op.Most)}}
 	for _, t := range op.Translate {
 		c.Maps = append(c.Maps, gossip.Map{From: t.Prefix, To: t.As})
 	}
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -177,6 +177,7 @@
 	Refused   int   `json:"refused"` // entries and messages that could not be taken: bad, or above a bound
 	Accused   int   `json:"accused"` // suspicions that began here
 	Buried    int   `json:"buried"`  // members that this one found dead
+	Full      int   `json:"full"`    // names that had no place
 	Unasked   int   `json:"unasked"` // syncs not answered: too many in a second
 	LastStall int64 `json:"last_stall_ns"`
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -374,5 +374,8 @@
 	return s
 }
 
+// Full is how often a name had no place.
+func (m *Core) Full() int { return m.stats.Full }
+
 // logN is how many rounds news takes, rounded up.
 func (m *Core) logN() int { return int(math.Ceil(math.Log10(float64(m.n() + 1)))) }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -61,7 +61,9 @@
 	// called from Run's goroutine and must not block.
 	OnWord  func(w fleet.Word, holds bool)
 	OnCount func(n int)
-	Log     *slog.Logger
+	// TableFull and QueueFull are called when a name has no place and when a message has none, from any goroutine; nil: never.
+	TableFull, QueueFull func()
+	Log                  *slog.Logger
 }
 
 // Node is this process's place in the fleet.
@@ -167,6 +169,9 @@
 		return true
 	default:
 		n.count.full.Add(1)
+		if n.cfg.QueueFull != nil {
+			n.cfg.QueueFull()
+		}
 		return false
 	}
 }
@@ -238,10 +243,17 @@
 			n.cfg.Log.Warn("fleet: a message cannot be read", "from", i.from, "err", i.bad)
 		}
 	default:
+		full := n.core.Full()
 		n.act(n.core.Receive(n.now(), i.msg))
+		if n.core.Full() > full && n.cfg.TableFull != nil {
+			n.cfg.TableFull()
+		}
 	}
 }
 
+// QueueLength is how many messages may wait for the core.
+const QueueLength = queueLength
+
 func (n *Node) act(list []fleet.Action) {
 	for _, a := range list {
 		switch a.Do {
--- a/internal/fleet/hear.go
+++ b/internal/fleet/hear.go
@@ -42,6 +42,7 @@
 	}
 	if len(m.members)+1 >= m.cfg.Most && !m.makeRoom(direct) {
 		m.stats.Refused++
+		m.stats.Full++
 		return nil
 	}
 	x := &member{Entry: e, since: m.now, live: -1}
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -262,6 +262,9 @@
 	return json.NewDecoder(io.LimitReader(resp.Body, 16<<20)).Decode(v)
 }
 
+// Admin is the address of a member's admin endpoint.
+func (r *Rig) Admin(n int) string { return r.members[n].admin }
+
 // views asks all members of a group that run and are not frozen, side by side.
 func (r *Rig) views(group []int) map[int]gossip.State {
 	out := map[int]gossip.State{}
