--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"hazelwing/internal/front/httpfront"
 	"hazelwing/internal/ledger/guard"
 	"hazelwing/internal/membership/merged"
+	"hazelwing/internal/membership/relay"
 	"hazelwing/internal/membership/watch"
 	"hazelwing/internal/operator"
 	"hazelwing/internal/platform"
@@ -31,9 +32,10 @@
 	front  *httpfront.Server
 	// members is discovery and the sources beside it; nil: there are none.
 	members *merged.Source
-	fleet   *fleetPart   // the other sidecars; nil: they are not known
-	guard   *guard.Guard // nil: there is no ledger of effects
-	admin   net.Listener // nil: there is no endpoint
+	list    *relay.Source // discovery's list by way of the fleet; nil: from discovery alone
+	fleet   *fleetPart    // the other sidecars; nil: they are not known
+	guard   *guard.Guard  // nil: there is no ledger of effects
+	admin   net.Listener  // nil: there is no endpoint
 	extras  []*extra
 	asked   bool // discovery is one service for all, and not an agent on this machine
 	log     *slog.Logger
@@ -70,8 +72,12 @@
 		transport = s.guard.Transport(pool)
 	}
 	var source engine.Source = watch.New(cfg.Discovery, set.MustSubscribe, log)
+	if op.Recovery != nil {
+		s.list = openList(op.Recovery, cfg, set.Balancers, source, engine.News{Seq: cfg.Known.Seq, Members: known}, log)
+		source = s.list
+	}
 	if op.Fleet != nil {
-		if s.fleet, err = openFleet(op.Fleet, cfg, set.Balancers, bounds, log); err != nil {
+		if s.fleet, err = openFleet(op.Fleet, s.list, cfg, set.Balancers, bounds, log); err != nil {
 			return nil, err
 		}
 	}
@@ -133,6 +139,9 @@
 	if s.fleet != nil {
 		p["fleet"] = func() any { return s.fleet.node.State() }
 	}
+	if s.list != nil {
+		p["recovery"] = func() any { return s.list.State() }
+	}
 	if s.guard != nil {
 		p["ledger"] = func() any { return s.guard.State() }
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,8 +15,11 @@
 	"hazelwing/internal/fleet/gossip"
 	"hazelwing/internal/membership"
 	"hazelwing/internal/membership/merged"
+	"hazelwing/internal/membership/relay"
+	"hazelwing/internal/membership/watch"
 	"hazelwing/internal/operator"
 	"hazelwing/internal/platform"
+	"hazelwing/internal/recovery"
 )
 
 // fleetSource is the name of the other sidecars among the sources of members.
@@ -29,6 +33,7 @@
 	node *gossip.Node
 	said chan saidWord
 
+	list  *relay.Source // the list by way of the fleet; nil: from discovery alone
 	mu    sync.Mutex
 	count func(int) // nil: nobody wants it yet
 	last  int       // the last one; 0: none
@@ -40,14 +45,17 @@
 }
 
 // openFleet listens; nothing is sent before run.
-func openFleet(op *operator.Fleet, cfg *platform.Config, told int, bounds *bound.Set, log *slog.Logger) (*fleetPart, error) {
-	p := &fleetPart{said: make(chan saidWord, wordsWaiting)}
+func openFleet(op *operator.Fleet, list *relay.Source, cfg *platform.Config, told int, bounds *bound.Set, log *slog.Logger) (*fleetPart, error) {
+	p := &fleetPart{said: make(chan saidWord, wordsWaiting), list: list}
 	c := gossip.Config{Told: told, Listen: op.Listen, Allowed: op.Allowed, Log: log, OnWord: p.heard, OnCount: p.counted,
 		TableFull: bounds.Add("members of the fleet", int(op.Most)), QueueFull: bounds.Add("messages of the fleet that wait", gossip.QueueLength), Core: fleet.Config{
 			Fleet: op.Name, Name: cfg.Name, Self: op.Self, Seeds: op.Peers, Seed: uint64(cfg.Seed),
 			Probe: time.Duration(op.Probe), Timeout: time.Duration(op.Timeout), Gossip: time.Duration(op.Gossip), SyncEvery: time.Duration(op.Sync),
 			RetryEvery: time.Duration(op.Retry), Forget: time.Duration(op.Forget), KeepWords: time.Duration(op.KeepWords), Indirect: int(op.Indirect),
 			Suspicion: op.Suspicion, Most: int(op.Most)}}
+	if list != nil {
+		c.Serve, c.OnView = list.Relay(), p.viewed
+	}
 	for _, t := range op.Translate {
 		c.Maps = append(c.Maps, gossip.Map{From: t.Prefix, To: t.As})
 	}
@@ -59,6 +67,24 @@
 	return p, nil
 }
 
+// openList puts the fleet between discovery and this sidecar.
+func openList(op *operator.Recovery, cfg *platform.Config, told int, discovery engine.Source, known engine.News, log *slog.Logger) *relay.Source {
+	return relay.NewSource(relay.Config{Discovery: discovery, Known: known, Most: 2 * int(op.Fan), Log: log,
+		Askers: recovery.Config{Self: cfg.Name, Ask: int(op.Ask), Fan: int(op.Fan), Rate: op.Rate, Told: told, Seed: uint64(cfg.Seed)},
+		Peer: func(addr string, header http.Header, check func(http.Header) error) engine.Source {
+			return watch.NewPeer(addr, header, check, log)
+		}})
+}
+
+// viewed tells who may be followed. It is called from the node's goroutine.
+func (p *fleetPart) viewed(others []fleet.Member, joined bool) {
+	list := make([]recovery.Member, 0, len(others))
+	for _, m := range others {
+		list = append(list, recovery.Member{Name: m.Name, Addr: m.Addr})
+	}
+	p.list.View(list, joined)
+}
+
 // heard hands a word to the merge's source. It is called from the node's goroutine, and does not wait.
 func (p *fleetPart) heard(w fleet.Word, holds bool) {
 	select {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -27,6 +27,10 @@
 		}
 		s.log.Info("discovery", "addr", cfg.Discovery)
 		var source engine.Source = watch.New(cfg.Discovery, s.asked, s.log)
+		if s.list != nil {
+			s.list.Move(source)
+			source = s.list
+		}
 		if s.members != nil {
 			s.members.Move(source)
 			source = s.members
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -374,6 +374,9 @@
 	return s
 }
 
+// Joining says that nobody was heard yet.
+func (m *Core) Joining() bool { return !m.joined }
+
 // Full is how often a name had no place.
 func (m *Core) Full() int { return m.stats.Full }
 
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -23,6 +23,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -63,7 +64,11 @@
 	OnCount func(n int)
 	// TableFull and QueueFull are called when a name has no place and when a message has none, from any goroutine; nil: never.
 	TableFull, QueueFull func()
-	Log                  *slog.Logger
+	// Serve answers peers that speak HTTP to the same address; nil: nobody does.
+	Serve http.Handler
+	// OnView is called with who lives, but for this member, at each change of that; joined says that anybody was heard. As OnWord.
+	OnView func(others []fleet.Member, joined bool)
+	Log    *slog.Logger
 }
 
 // Node is this process's place in the fleet.
@@ -75,6 +80,8 @@
 	listen net.Listener
 	in     chan input
 	out    chan outgoing
+	web    *web // nil: there is none
+	seen   fleetSeen
 	count  counts
 	say    map[string]time.Time // Run's own: when a line of a kind was last written
 }
@@ -148,6 +155,9 @@
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
 	n.conn.SetReadBuffer(1 << 20)
+	if c.Serve != nil {
+		n.web = newWeb(c.Serve)
+	}
 	return n, nil
 }
 
@@ -201,6 +211,9 @@
 	for range streamsOut {
 		all.Go(func() { n.dial(work) })
 	}
+	if n.web != nil {
+		all.Go(n.web.run)
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var leaving <-chan time.Time
@@ -218,10 +231,14 @@
 		case i := <-n.in:
 			n.handle(i)
 		}
+		n.lookAtView()
 		timer.Reset(max(0, n.core.Next()-n.now()))
 	}
 	stop()
 	n.Close()
+	if n.web != nil {
+		n.web.close()
+	}
 	all.Wait()
 }
 
@@ -437,14 +454,23 @@
 
 // readStream reads one frame.
 func (n *Node) readStream(ctx context.Context, conn net.Conn, from netip.Addr) {
-	defer conn.Close()
+	handed := false
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
+	defer func() {
+		if stop(); !handed {
+			conn.Close()
+		}
+	}()
 	conn.SetDeadline(time.Now().Add(streamTime))
 	var head [4]byte
 	if _, err := io.ReadFull(conn, head[:]); err != nil {
 		return
 	}
+	if n.web != nil && string(head[:]) == "GET " { // no frame is so long
+		conn.SetDeadline(time.Time{})
+		handed = n.web.hand(&peeked{Conn: conn, head: head[:]})
+		return
+	}
 	size := binary.BigEndian.Uint32(head[:])
 	if size > streamMost {
 		n.count.corrupt.Add(1)
--- /dev/null
+++ b/internal/membership/relay/source.go
@@ -0,0 +1,244 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/recovery"
+)
+
+// Config is a Source's.
+type Config struct {
+	Askers    recovery.Config
+	Discovery engine.Source
+	// Peer is the watch of a member that is followed: asked says who asks, and refuses a path that cannot be followed.
+	Peer  func(addr string, header http.Header, check func(http.Header) error) engine.Source
+	Known engine.News // the list that the engine was given as last held
+	Most  int         // that may follow this one
+	Log   *slog.Logger
+}
+
+// Source is an engine.Source that has the list from discovery or from another sidecar, as recovery.Askers says, and passes it on.
+type Source struct {
+	cfg   Config
+	relay *Relay
+	begun time.Time
+
+	mu      sync.Mutex
+	askers  *recovery.Askers
+	viewed  chan struct{} // closed when the view changes
+	latest  int           // the number of the last Watch: it alone is passed on
+	moved   bool          // discovery is another one than the others have: versions cannot be compared any more
+	best    int64         // the highest version that discovery told, by way of anybody
+	source  string        // now, for State
+	changes int           // of source
+}
+
+// NewSource makes one. Nothing is asked before Watch.
+func NewSource(c Config) *Source {
+	s := &Source{cfg: c, relay: New(c.Askers.Self, c.Most), begun: time.Now(), askers: recovery.New(c.Askers, 0), viewed: make(chan struct{}), best: engine.NoVersion}
+	if len(c.Known.Members) > 0 { // what comes first may be changes to it. It is passed on only once a source works
+		s.relay.apply(engine.News{Kind: balancer.Full, Seq: c.Known.Seq, Members: c.Known.Members})
+	}
+	return s
+}
+
+// Relay is where others follow.
+func (s *Source) Relay() *Relay { return s.relay }
+
+// View tells who lives. It may be called from any goroutine, and does not wait.
+func (s *Source) View(others []recovery.Member, joined bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.askers.View(s.now(), others, joined)
+	close(s.viewed)
+	s.viewed = make(chan struct{})
+}
+
+// Move lets discovery be another one. From then on this sidecar asks it by itself: its versions are not those of the others.
+func (s *Source) Move(discovery engine.Source) {
+	s.mu.Lock()
+	s.cfg.Discovery, s.moved = discovery, true
+	s.mu.Unlock()
+	s.relay.lost()
+}
+
+func (s *Source) now() time.Duration { return time.Since(s.begun) }
+
+// Watch follows the list, from one source after another where they fail, and ends as discovery's watch does: with the failure of
+// discovery itself. See engine.Source.
+func (s *Source) Watch(seq int64, pause time.Duration, tell func(engine.News)) context.CancelFunc {
+	ctx, stop := context.WithCancel(context.Background())
+	s.mu.Lock()
+	s.latest++
+	mine := s.latest
+	s.mu.Unlock()
+	go s.watch(ctx, mine, seq, pause, tell)
+	return stop
+}
+
+func (s *Source) watch(ctx context.Context, mine int, seq int64, pause time.Duration, tell func(engine.News)) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(pause):
+	}
+	for ctx.Err() == nil {
+		c, source, viewed := s.choose()
+		if c.Wait > 0 {
+			select {
+			case <-time.After(c.Wait):
+			case <-viewed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		last, err := s.follow(ctx, mine, c, source, seq, tell)
+		s.passOn(mine, func() { s.relay.lost() })
+		if ctx.Err() != nil {
+			return
+		}
+		seq = last
+		if err == nil { // there is a better one
+			continue
+		}
+		s.cfg.Log.Info("the list's source is lost", "source", name(c), "err", err)
+		s.mu.Lock()
+		s.askers.Failed(s.now(), c)
+		s.mu.Unlock()
+		if c.Discovery { // the module knows how long to wait
+			tell(engine.News{Kind: balancer.Failed, Seq: seq, Err: err})
+			return
+		}
+	}
+}
+
+func name(c recovery.Choice) string {
+	if c.Discovery {
+		return "discovery"
+	}
+	return c.Peer.Name
+}
+
+func (s *Source) choose() (recovery.Choice, engine.Source, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.moved {
+		return recovery.Choice{Discovery: true}, s.cfg.Discovery, s.viewed
+	}
+	return s.askers.Choose(s.now()), s.cfg.Discovery, s.viewed
+}
+
+func (s *Source) passOn(mine int, f func()) {
+	s.mu.Lock()
+	latest, moved := s.latest, s.moved
+	s.mu.Unlock()
+	if mine == latest && !moved {
+		f()
+	}
+}
+
+// lookEvery is how often a source that works is held against a better one.
+const lookEvery = 5 * time.Second
+
+var errOlder = errors.New("a whole list that is older than what was told")
+
+// follow has the list from one source until it fails, or a better one is there: then the error is nil. It returns the version to go
+// on from.
+func (s *Source) follow(ctx context.Context, mine int, c recovery.Choice, discovery engine.Source, seq int64, tell func(engine.News)) (int64, error) {
+	path, from := []string(nil), discovery
+	if !c.Discovery {
+		header := http.Header{whoHeader: {s.cfg.Askers.Self}}
+		from = s.cfg.Peer(c.Peer.Addr.String(), header, func(h http.Header) error {
+			path = strings.Split(h.Get(pathHeader), ",")
+			if slices.Contains(path, s.cfg.Askers.Self) || len(path) > mostSteps {
+				return fmt.Errorf("its list comes from here, or from far: %s", strings.Join(path, ", "))
+			}
+			return nil
+		})
+	}
+	news := make(chan engine.News, 1)
+	over := make(chan struct{})
+	stop := from.Watch(seq, 0, func(n engine.News) {
+		select {
+		case news <- n:
+		case <-over:
+		}
+	})
+	defer close(over)
+	defer stop()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	first := true
+	for {
+		select {
+		case <-ctx.Done():
+			return seq, ctx.Err()
+		case <-look.C:
+			s.mu.Lock()
+			better := !s.moved && s.askers.Better(s.now(), c)
+			s.mu.Unlock()
+			if better {
+				return seq, nil
+			}
+		case n := <-news:
+			if n.Kind == balancer.Failed {
+				return n.Seq, n.Err
+			}
+			if !c.Discovery && n.Kind == balancer.Full && n.Seq < s.highest() {
+				return seq, errOlder // it would bring back what has left
+			}
+			seq = n.Seq
+			s.heard(c, n.Seq, first)
+			s.passOn(mine, func() {
+				if first {
+					s.relay.begin(path)
+				}
+				s.relay.apply(n)
+			})
+			first = false
+			tell(n)
+		}
+	}
+}
+
+func (s *Source) highest() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.best
+}
+
+func (s *Source) heard(c recovery.Choice, seq int64, first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.askers.Works(s.now(), c)
+	s.best = max(s.best, seq)
+	if first {
+		s.source = name(c)
+		s.changes++
+	}
+}
+
+// SourceState is for the admin endpoint.
+type SourceState struct {
+	Source  string `json:"source"` // from whom the list is had now, or was last
+	Rank    int    `json:"rank"`   // in the order of the fleet; the first ask discovery
+	Changes int    `json:"changes"`
+	Relay   State  `json:"relay"`
+}
+
+// State is from whom the list comes, and who follows.
+func (s *Source) State() SourceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return SourceState{s.source, s.askers.Rank(), s.changes, s.relay.State()}
+}
--- a/internal/membership/watch/watch.go
+++ b/internal/membership/watch/watch.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -83,6 +84,16 @@
 	client *http.Client
 
 	silence time.Duration // when a watch counts as dead
+	header  http.Header   // of calls, beside what is said here
+	check   func(http.Header) error
+}
+
+// NewPeer is another sidecar that passes discovery's list on (internal/membership/relay). header goes with each call; check says of
+// an answer's headers whether it may be followed.
+func NewPeer(addr string, header http.Header, check func(http.Header) error, log *slog.Logger) *Discovery {
+	d := New(addr, false, log)
+	d.header, d.check = header, check
+	return d
 }
 
 // New is the discovery at addr; asked says that it is one service for all sidecars, and not an agent on this machine.
@@ -215,6 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
+	maps.Copy(req.Header, d.header)
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return nil, broken(ctx, err)
@@ -223,6 +235,12 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("discovery answered %s", resp.Status)
 	}
+	if d.check != nil {
+		if err := d.check(resp.Header); err != nil {
+			resp.Body.Close()
+			return nil, err
+		}
+	}
 	return resp, nil
 }
 
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -91,7 +91,7 @@
 	bounded(fault, "fleet.gossip", &f.Gossip, probe/5, 5*time.Millisecond, time.Minute)
 	bounded(fault, "fleet.sync", &f.Sync, 30*probe, 100*time.Millisecond, time.Hour)
 	bounded(fault, "fleet.retry", &f.Retry, 5*probe, 50*time.Millisecond, time.Hour)
-	bounded(fault, "fleet.forget", &f.Forget, time.Hour, 10*time.Second, 7*24*time.Hour)
+	bounded(fault, "fleet.forget", &f.Forget, time.Hour, 5*time.Second, 7*24*time.Hour)
 	bounded(fault, "fleet.keep_words", &f.KeepWords, 30*time.Second, time.Second, time.Hour)
 	number(fault, "fleet.indirect", &f.Indirect, 3, 1, 10)
 	number(fault, "fleet.most", &f.Most, 10_000, 2, 100_000)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,11 +24,12 @@
 
 // Config is what the file says; nil tables are off.
 type Config struct {
-	Ledger  *Ledger  `toml:"ledger"`
-	Admin   *Admin   `toml:"admin"`
-	GraphQL *GraphQL `toml:"graphql"`
-	Members *Members `toml:"members"`
-	Fleet   *Fleet   `toml:"fleet"`
+	Ledger   *Ledger   `toml:"ledger"`
+	Admin    *Admin    `toml:"admin"`
+	GraphQL  *GraphQL  `toml:"graphql"`
+	Members  *Members  `toml:"members"`
+	Fleet    *Fleet    `toml:"fleet"`
+	Recovery *Recovery `toml:"recovery"`
 
 	path  string
 	where map[string]unstable.Position
@@ -196,6 +197,12 @@
 	if f := c.Fleet; f != nil {
 		f.check(fault)
 	}
+	if r := c.Recovery; r != nil {
+		r.check(fault)
+		if c.Fleet == nil {
+			fault("recovery", "needs [fleet]: the list is had from its members")
+		}
+	}
 	if a := c.Admin; a != nil {
 		at, err := netip.ParseAddrPort(a.Listen)
 		switch {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -172,3 +172,10 @@
 		}
 	}
 }
+
+// Seq is the version of the list.
+func (d *Discovery) Seq() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seq
+}
--- a/internal/standin/rig/script.go
+++ b/internal/standin/rig/script.go
@@ -181,8 +181,12 @@
 	}
 	for _, n := range group {
 		p := r.members[n]
-		if !until(ctx, upWithin, func() bool { return r.Ask(n, "fleet", new(gossip.State)) == nil }) {
-			return errors.Join(fmt.Errorf("%s is not up", p.name), p.crashed())
+		var ended error
+		if !until(ctx, upWithin, func() bool {
+			ended = p.crashed()
+			return ended != nil || r.Ask(n, "fleet", new(gossip.State)) == nil
+		}) || ended != nil {
+			return errors.Join(fmt.Errorf("%s is not up", p.name), ended)
 		}
 		p.up.Store(true)
 	}
