--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -38,6 +38,9 @@
 	const srv = "[members]\n[members.srv]\nname = \"_a._tcp.b\"\nservers = [\"10.0.0.2:53\"]\n"
 	const fl = "[fleet]\nname = \"f\"\nlisten = \"10.0.0.4:7946\"\nseeds = [\"10.0.0.5:7946\"]\nnetworks = [\"10.0.0.0/8\"]\n"
 	for text, want := range map[string]string{
+		"[recovery]\nask = 3":          "1:2: recovery: needs [fleet]",
+		fl + "[recovery]\nfan = 99":    "7:1: recovery.fan: 99 is not from 1 to 32",
+		fl + "[recovery]\nrate = -1.0": "7:1: recovery.rate: -1 is not from",
 		"[fleet]\nlisten = \"10.0.0.4:7946\"\nseeds = [\"10.0.0.5:7946\"]\nnetworks = [\"10.0.0.0/8\"]":              "1:2: fleet.name: ",
 		"[fleet]\nname = \"f\"\nlisten = \"10.0.0.4\"\nseeds = [\"10.0.0.5:7946\"]\nnetworks = [\"10.0.0.0/8\"]":     "3:1: fleet.listen: \"10.0.0.4\" is no address",
 		"[fleet]\nname = \"f\"\nlisten = \"0.0.0.0:7946\"\nseeds = [\"10.0.0.5:7946\"]\nnetworks = [\"10.0.0.0/8\"]": "1:2: fleet.advertise: is wanted",
