--- a/internal/fleet/script_test.go
+++ b/internal/fleet/script_test.go
@@ -77,7 +77,7 @@
 func (s *scripted) do(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "new":
-		c := Config{Fleet: "f", Name: "a", Self: at("a"), Run: 100, Seed: 7, Probe: time.Second, SyncEvery: time.Hour, Forget: s.time(value(d, "forget", "1h")),
+		c := Config{Fleet: "f", Name: "a", Self: at("a"), Run: 100, Seed: 7, Probe: time.Second, SyncEvery: s.time(value(d, "sync", "1h")), Forget: s.time(value(d, "forget", "1h")),
 			KeepWords: s.time(value(d, "keep", "30s")), Most: int(s.number(value(d, "most", "100"))), RetryEvery: s.time(value(d, "retry", "1h")),
 			Allowed: func(a Address) bool { return a.Addr().Is4() && a.Addr().As4()[0] == 10 }}
 		for _, a := range d.CmdArgs {
@@ -228,6 +228,9 @@
 			}
 			for _, e := range m.Entries {
 				text += fmt.Sprintf(" [%s %v %s", e.Name, e.State, versionText(e.Version))
+				if e.Age > 0 {
+					text += fmt.Sprint(" age=", e.Age.Round(time.Second))
+				}
 				if e.By != "" {
 					text += " by=" + e.By
 				}
