--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -144,9 +144,9 @@
 	if p.log, err = os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600); err != nil {
 		return err
 	}
-	// Found free now, and taken at the start: another process could take them between, and then the start fails and says so.
+	// Found free now, and taken at the start. At the member's own address: what others take by chance is on 127.0.0.1.
 	for _, at := range []*string{&p.listen, &p.admin} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", realAddr(p.n).String()+":0")
 		if err != nil {
 			return err
 		}
