--- a/internal/lab/fleetsim/experiment.go
+++ b/internal/lab/fleetsim/experiment.go
@@ -132,7 +132,7 @@
 	return 0, false
 }
 
-const waitMost = 10 * time.Minute
+const waitMost = 3 * time.Minute
 
 // Play plays all of an experiment on some cores. The same file gives the same points.
 func (e *Experiment) Play(cores int) []Point {
