--- a/internal/fleet/count.go
+++ b/internal/fleet/count.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// How many sidecars to reckon with. Each takes its part of what a cold server bears from the number, so one that is too low
-// harms (two halves that each count a half send twice what is borne), and one that is too high only costs time. So it rises
-// at once and falls late:
+// How many sidecars to reckon with. How many servers each draws from, what a crossing weighs and when probes pay follow it; two
+// halves of a fleet that each counted a half would load servers as a small fleet does. So it rises at once and falls late:
 //
 //   - until anybody was heard, what the setting says holds;
 //   - who lives or is suspect counts, and who left of its own accord does not, from when the word came;
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -4,7 +4,7 @@
 // # Goroutines
 //
 // Run owns the core. One goroutine reads datagrams, one takes connections, each of which has one (streamsIn at a time), and
-// streamsOut dial. All of them hand frames to Run through a queue of queueLength, which drops what it has no room for; Run
+// streamsOut dial. All of them hand frames to Run through a queue of QueueLength, which drops what it has no room for; Run
 // never waits for any of them: datagrams are written without waiting, and what the dialers have no room for is dropped, as a
 // network would.
 //
@@ -34,8 +34,10 @@
 	"hazelwing/internal/fleet"
 )
 
+// QueueLength is how many messages may wait for the core.
+const QueueLength = 1024
+
 const (
-	queueLength  = 1024
 	datagramMost = 1400
 	streamMost   = 8 << 20
 	streamTime   = 5 * time.Second
@@ -111,7 +113,6 @@
 	Members []MemberState `json:"members"`
 	Core    fleet.Stats   `json:"core"`
 	Network NetworkState  `json:"network"`
-	Words   int           `json:"words"`
 }
 
 // MemberState is a member as of now.
@@ -139,7 +140,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
-	n := &Node{cfg: c, begun: time.Now(), in: make(chan input, queueLength), out: make(chan outgoing, outLength), say: map[string]time.Time{}}
+	n := &Node{cfg: c, begun: time.Now(), in: make(chan input, QueueLength), out: make(chan outgoing, outLength), say: map[string]time.Time{}}
 	n.cfg.Core.Run = rand.Uint64()
 	n.cfg.Core.Allowed = func(a fleet.Address) bool { return a.Port() != 0 && c.Allowed.Contains(a.Addr()) }
 	if n.core, err = fleet.New(n.cfg.Core, 0, c.Told); err != nil {
@@ -268,9 +269,6 @@
 	}
 }
 
-// QueueLength is how many messages may wait for the core.
-const QueueLength = queueLength
-
 func (n *Node) act(list []fleet.Action) {
 	for _, a := range list {
 		switch a.Do {
@@ -291,7 +289,6 @@
 
 func (n *Node) state() State {
 	s := State{Name: n.cfg.Core.Name, Fleet: n.cfg.Core.Fleet, Core: n.core.Stats(), Network: n.network()}
-	s.Words = s.Core.Words
 	now := n.now()
 	for _, m := range n.core.View() {
 		s.Members = append(s.Members, MemberState{m, (now - m.Since).Round(time.Millisecond).String()})
--- a/internal/fleet/sync.go
+++ b/internal/fleet/sync.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Views are compared by a digest: buckets of names, and for each the sum of the hashes of who is thought to live in it. Equal
 // views cost a datagram each way; of those that differ, only the buckets that do are sent.
@@ -70,12 +73,7 @@
 			list = append(list, m.entry(x))
 		}
 	}
-	slices.SortFunc(list, func(a, b Entry) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -114,12 +112,7 @@
 			others[x.Addr] = false
 		}
 	}
-	slices.SortFunc(dead, func(a, b *member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(dead, byName)
 	m.attic = slices.DeleteFunc(m.attic, func(at Address) bool { return !others[at] })
 	missing := slices.Clone(m.attic)
 	for _, at := range m.cfg.Seeds {
@@ -144,10 +137,17 @@
 
 // forget drops who has been dead or left for long.
 func (m *Core) forget() {
+	var over []*member
 	for _, x := range m.members {
 		if x.State >= Dead && m.now-x.diedAt >= m.cfg.Forget {
-			m.note(x, x.State, "is forgotten")
-			m.drop(x)
+			over = append(over, x)
 		}
 	}
+	slices.SortFunc(over, byName) // one seed gives one course, also of the addresses that are kept
+	for _, x := range over {
+		m.note(x, x.State, "is forgotten")
+		m.drop(x)
+	}
 }
+
+func byName(a, b *member) int { return cmp.Compare(a.Name, b.Name) }
--- a/internal/fleet/words.go
+++ b/internal/fleet/words.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -61,11 +62,6 @@
 	for _, w := range m.words {
 		list = append(list, m.wordOf(w))
 	}
-	slices.SortFunc(list, func(a, b Word) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Word) int { return cmp.Compare(a.Server, b.Server) })
 	return list
 }
--- a/internal/lab/fleetsim/experiment.go
+++ b/internal/lab/fleetsim/experiment.go
@@ -78,6 +78,9 @@
 	if len(e.Slow) == 0 {
 		e.Slow = []float64{0}
 	}
+	if slices.Max(e.Slow) > 0 && (e.SlowFor <= 0 || e.SlowEvery <= e.SlowFor) {
+		return nil, bad("slow members need slow_for, and a slow_every that is longer")
+	}
 	return e, nil
 }
 
--- a/internal/lab/fleetsim/fleetsim.go
+++ b/internal/lab/fleetsim/fleetsim.go
@@ -41,12 +41,10 @@
 
 // Member is one process, or the place of one.
 type Member struct {
-	Name   string
-	Addr   netip.AddrPort
-	Core   Contestant // nil: it does not run
-	Slow   float64    // chance that a message or a tick is handled SlowBy late
-	SlowBy time.Duration
-	Clock  time.Duration // what its clock shows beyond the fleet's
+	Name  string
+	Addr  netip.AddrPort
+	Core  Contestant    // nil: it does not run
+	Clock time.Duration // what its clock shows beyond the fleet's
 
 	lives          uint64
 	frozen         time.Duration // until
@@ -91,6 +89,9 @@
 	if c.Latency == 0 {
 		c.Latency = time.Millisecond
 	}
+	if c.Core.Probe == 0 { // for every contestant: one without an interval would tick for ever at one moment
+		c.Core.Probe = time.Second
+	}
 	if c.Told == 0 {
 		c.Told = c.Members
 	}
@@ -259,18 +260,10 @@
 		if !a.Stream && f.rng.Float64() < f.cfg.Late {
 			at += f.cfg.LateBy
 		}
-		at += f.slowness(to)
 		f.push(&event{at: at, to: to, life: f.Members[to].lives, msg: &msg})
 	}
 }
 
-func (f *Fleet) slowness(i int) time.Duration {
-	if m := f.Members[i]; m.Slow > 0 && f.rng.Float64() < m.Slow {
-		return time.Duration(f.rng.Float64() * float64(m.SlowBy))
-	}
-	return 0
-}
-
 // schedule has a member's next tick in the queue.
 func (f *Fleet) schedule(i int) {
 	m := f.Members[i]
@@ -281,7 +274,7 @@
 		}
 		m.tick.dead = true
 	}
-	m.tick = &event{at: at + f.slowness(i), to: i, life: m.lives}
+	m.tick = &event{at: at, to: i, life: m.lives}
 	f.push(m.tick)
 }
 
--- a/internal/lab/fleetsim/rival.go
+++ b/internal/lab/fleetsim/rival.go
@@ -27,9 +27,6 @@
 const silent = 5
 
 func newHeartbeats(c fleet.Config, now time.Duration) Contestant {
-	if c.Probe == 0 { // as fleet.Config fills it in; without an interval it would tick for ever at one moment
-		c.Probe = time.Second
-	}
 	return &heartbeats{cfg: c, now: now, due: now, seen: map[string]*heard{},
 		me: fleet.Entry{Name: c.Name, Addr: c.Self, Version: fleet.Version{Life: 1, Run: c.Run}}}
 }
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -41,11 +41,9 @@
 	Servers int // stand-in servers; 0: 4
 	// Operator is added to each member's operator's file, below [fleet] and [admin]; DIR in it is the member's directory.
 	Operator string
-	// Fleet are more keys of [fleet]; Name replaces the fleet's name for some members.
+	// Fleet are more keys of [fleet].
 	Fleet string
-	Name  func(n int) string
 	Told  int // Balancers of the platform's file; 0: Members
-	Logf  func(format string, args ...any)
 }
 
 // Rig is one that runs.
@@ -198,13 +196,9 @@
 
 // configure writes a member's operator's file, with the seeds of now.
 func (r *Rig) configure(p *process) error {
-	name := "rig"
-	if r.cfg.Name != nil {
-		name = r.cfg.Name(p.n)
-	}
 	seeds, _ := json.Marshal(r.seeds)
 	text := fmt.Sprintf("[admin]\nlisten = %q\n[fleet]\nname = %q\nlisten = %q\nseeds = %s\nnetworks = [\"127.0.0.0/8\"]\ntranslate = [{from = %q, to = %q}]\n%s\n%s\n",
-		p.admin, name, r.fleetAddr(p.n), seeds, realPrefix(), seenPrefix(p.n), r.cfg.Fleet, strings.ReplaceAll(r.cfg.Operator, "DIR", p.dir))
+		p.admin, "rig", r.fleetAddr(p.n), seeds, realPrefix(), seenPrefix(p.n), r.cfg.Fleet, strings.ReplaceAll(r.cfg.Operator, "DIR", p.dir))
 	_, err := p.write("operator.toml", text)
 	return err
 }
