--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -142,9 +142,10 @@
 	if p.log, err = os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600); err != nil {
 		return err
 	}
-	// Found free now, and taken at the start. At the member's own address: what others take by chance is on 127.0.0.1.
-	for _, at := range []*string{&p.listen, &p.admin} {
-		l, err := net.Listen("tcp", realAddr(p.n).String()+":0")
+	// Found free now, and taken at the start. Each is at an address of its own, where nothing else listens: at one address a port
+	// that is free for one of them may be the one that was found for another.
+	for n, at := range []*string{&p.listen, &p.admin} {
+		l, err := net.Listen("tcp", netip.AddrFrom4([4]byte{127, byte(78 + n), 0, byte(p.n)}).String()+":0")
 		if err != nil {
 			return err
 		}
