--- a/balancer/api.go
+++ b/balancer/api.go
@@ -212,7 +212,7 @@
 
 // What a sidecar can be asked to do.
 const (
-	Send      ActionKind = iota // start the request's next attempt at Upstream, ending after Timeout
+	Send      ActionKind = iota // start the request's next attempt at Upstream, ending after Timeout, unless that is not before Before
 	Cancel                      // stop waiting for attempt number Attempt
 	Refuse                      // final answer: not done, trying again is harmless; RetryIn is advice
 	Fail                        // final answer: no promise
@@ -232,5 +232,6 @@
 	Timeout  time.Duration
 	RetryIn  time.Duration
 	At       time.Duration
+	Before   time.Duration // 0: at any time
 	Text     string
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -235,11 +235,28 @@
 
 // stuck: an attempt may have run, and nothing may follow it any more.
 func (b *Balancer) stuck(r *request) bool {
-	over := func(sent time.Duration) bool {
-		return r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now-sent > r.class.Window-2*b.set.Tick
+	first, ok := r.firstRun()
+	return ok && (r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now > b.forgotten(r, first))
+}
+
+// firstRun is when the first attempt was sent that may have run; false: none may.
+func (r *request) firstRun() (at time.Duration, ok bool) {
+	for _, a := range r.attempts {
+		if a.mayRun && (!ok || a.sent < at) {
+			at, ok = a.sent, true
+		}
+	}
+	for _, a := range r.earlier {
+		if !ok || a.Sent < at {
+			at, ok = a.Sent, true
+		}
 	}
-	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun && over(a.sent) }) ||
-		slices.ContainsFunc(r.earlier, func(a Earlier) bool { return over(a.Sent) })
+	return at, ok
+}
+
+// forgotten is when those who saw a keyed request first no longer drop its repeats, less what the way takes.
+func (b *Balancer) forgotten(r *request, first time.Duration) time.Duration {
+	return first + r.class.Window - 2*b.set.Tick
 }
 
 // mayRefuse: a refusal tells the client that trying again is harmless.
@@ -252,6 +269,10 @@
 
 // send starts the next attempt. Its caller asked mayTry, through pick.
 func (b *Balancer) send(r *request, u *upstream) {
+	var before time.Duration
+	if first, ok := r.firstRun(); ok && r.class.Effect == Keyed {
+		before = b.forgotten(r, first)
+	}
 	a := &attempt{r: r, n: len(r.attempts), u: u, zone: u.zone, cell: u.cell, sent: b.now}
 	a.out, a.mayRun, a.before = true, true, -1
 	if u.toldAt >= r.askedAt && r.pair[0] != nil {
@@ -268,7 +289,8 @@
 	u.tokens -= r.cost
 	u.held++
 	r.pair = [2]*upstream{}
-	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
+	timeout := max(r.end-b.now, b.set.Tick)
+	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: timeout, Before: before})
 	if r.class.Effect != Unsafe {
 		r.lateAt = b.now + b.patience(r)
 		b.after(r.lateAt, timerLate, r)
--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -22,8 +22,13 @@
 	Expires time.Time
 	// Payload is for the transport alone. Several attempts may read it at the same time: nobody changes it.
 	Payload any
+	// Left looks whether the client is gone, sooner than Do's ctx may tell; nil: only that tells. It is called from any
+	// goroutine and does not block.
+	Left func() bool
 
-	reply chan Result // holds the one result
+	ctx    context.Context // Do's
+	reply  chan Result     // holds the one result
+	before time.Time       // no further attempt may be begun from then on; zero: at any time
 
 	// Run's own.
 	attempts []*attempt
@@ -42,6 +47,21 @@
 	Sent time.Time
 }
 
+// Permit returns what says whether an attempt that is being prepared may still begin. A transport takes it in Attempt, and
+// calls it from the attempt's goroutine, once there is nothing left to wait for but the write itself. Guards against dials,
+// places and disks that keep an attempt until its client has left, or until those who saw the first one no longer drop its
+// repeat.
+func (c *Call) Permit() func() bool {
+	before := c.before
+	return func() bool { return (before.IsZero() || time.Now().Before(before)) && !c.gone() }
+}
+
+// gone says that the client has left, as far as can be told now.
+func (c *Call) gone() bool { return c.over() || c.Left != nil && c.Left() }
+
+// over says that Do's context has ended.
+func (c *Call) over() bool { return c.ctx != nil && c.ctx.Err() != nil }
+
 // attempt is a Call's attempt, from its Send to its outcome.
 type attempt struct {
 	exchange Exchange
--- /dev/null
+++ b/internal/engine/crossing_test.go
@@ -0,0 +1,174 @@
+package engine
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/standin/fixture"
+)
+
+// Where two events cross in the engine: docs/design/crossings.md has the table.
+
+// A client that has left by what can be seen of its connection gets no further attempt, though nobody has said so yet.
+func TestNoRetryForAClientThatLeft(t *testing.T) {
+	f := newFake()
+	e, _ := start(t, f, 3)
+	var left atomic.Bool
+	c := newCall("1", "look")
+	c.Left = left.Load
+	done := do(e, t.Context(), c)
+	x := fixture.Receive(t, f.sent, "the attempt")
+	permit := x.call.Permit()
+	if !permit() {
+		t.Error("an attempt for a client that waits may not begin")
+	}
+	left.Store(true)
+	if permit() {
+		t.Error("an attempt for a client that left may begin")
+	}
+	x.end <- Outcome{Result: balancer.Overloaded}
+	if r := fixture.Receive(t, done, "the result"); r.Kind != Left || len(f.sent) > 0 {
+		t.Errorf("%+v, and %d more attempts", r, len(f.sent))
+	}
+}
+
+// The same where Do's context has ended and its event still waits behind others: neither a call that comes nor one that is
+// moved on is sent.
+func TestLeavingThatWaitsBehindOthers(t *testing.T) {
+	f := newFake()
+	e := idle(t, f, testSettings(), 3)
+	ctx, leave := context.WithCancel(t.Context())
+	first, second := newCall("1", "look"), newCall("2", "look")
+	first.ctx, second.ctx = ctx, ctx
+	e.event(first)
+	x := fixture.Receive(t, f.sent, "the attempt")
+	leave()
+	e.event(ended{first, 0, Outcome{Result: balancer.Overloaded}}) // before gone{first}
+	e.event(second)
+	if len(f.sent) > 0 {
+		t.Error("sent for a client that left")
+	}
+	for _, c := range []*Call{first, second} {
+		if r := fixture.Receive(t, c.reply, "the result"); r.Kind != Left {
+			t.Errorf("%s: %+v", c.ID, r)
+		}
+		e.event(gone{c}) // comes later, and changes nothing
+	}
+	if len(e.calls) > 0 || len(first.reply)+len(second.reply) > 0 {
+		t.Errorf("%d calls in hand, more than one result", len(e.calls))
+	}
+	x.end <- Outcome{}
+}
+
+// A keyed call's further attempt may begin only while those who saw the first still drop its repeat: counted to its first
+// byte, however long its dial or its place takes.
+func TestPermitEndsWithTheWindow(t *testing.T) {
+	const window = 200 * time.Millisecond
+	set := testSettings()
+	set.Classes = append(set.Classes, balancer.Class{Name: "pay", Aim: fixture.Patience, Deadline: fixture.Patience,
+		Effect: balancer.Keyed, Group: balancer.GroupAll, Window: window})
+	f := newFake()
+	e := idle(t, f, set, 3)
+	c := newCall("1", "pay")
+	begun := time.Now()
+	e.event(c)
+	one := fixture.Receive(t, f.sent, "the attempt").call.Permit()
+	e.event(ended{c, 0, Outcome{Result: balancer.Reset}}) // it may have run
+	two := fixture.Receive(t, f.sent, "the next one").call.Permit()
+	may, asked := two(), time.Since(begun)
+	if !may && asked < window/2 {
+		t.Error("the next one may not begin inside the window")
+	}
+	time.Sleep(time.Until(begun.Add(window)))
+	if two() {
+		t.Error("the next one may begin after the window")
+	}
+	if !one() {
+		t.Error("the first one, which nothing went before, is held to it")
+	}
+}
+
+// Where lists are pushed, calls wait for the agent's first word: what it has counts as told from the start on.
+func TestAgentsFirstWordGoesBeforeCalls(t *testing.T) {
+	f := newFake()
+	set := testSettings()
+	set.MustSubscribe = false
+	e := made(t, f, set, 2)
+	e.events <- newCall("1", "look") // it is there before anything else happens
+	ctx, stop := context.WithCancel(t.Context())
+	defer func() {
+		stop()
+		fixture.Receive(t, e.closed, "the engine's end")
+	}()
+	go e.Run(ctx)
+	w := fixture.Receive(t, f.watches, "the watch")
+	leaving := fleet(1)
+	leaving[0].State = balancer.Leaving
+	w.tell(News{Kind: balancer.Change, Seq: 8, Members: leaving})
+	x := fixture.Receive(t, f.sent, "the attempt")
+	if x.member != "m1" {
+		t.Errorf("sent to %s, which drains", x.member)
+	}
+	x.end <- Outcome{Result: balancer.OK, Final: true}
+}
+
+// An agent that is silent holds calls up for a moment only.
+func TestSilentAgentHoldsNobodyUp(t *testing.T) {
+	f := newFake()
+	set := testSettings()
+	set.MustSubscribe = false
+	e := made(t, f, set, 2)
+	ctx, stop := context.WithCancel(t.Context())
+	defer func() {
+		stop()
+		fixture.Receive(t, e.closed, "the engine's end")
+	}()
+	go e.Run(ctx)
+	done := do(e, t.Context(), newCall("1", "look"))
+	fixture.Receive(t, f.sent, "the attempt").end <- Outcome{Result: balancer.OK, Final: true}
+	if r := fixture.Receive(t, done, "the result"); r.Kind != Served {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A drain that a watch told in the instant in which another replaced it stays told, but of the process it was told of.
+func TestDrainFromAWatchThatWasReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		born   float64
+		drains bool
+	}{"the same process": {0, true}, "one before": {-1, false}} {
+		t.Run(name, func(t *testing.T) {
+			f, next := newFake(), newFake()
+			e := idle(t, f, testSettings(), 2)
+			old := fixture.Receive(t, f.watches, "the first watch")
+			leaving := fleet(1)
+			leaving[0].State, leaving[0].BornMS = balancer.Leaving, c.born
+			old.tell(News{Kind: balancer.Change, Seq: 8, Members: leaving}) // it waits behind what follows
+			e.event(moved{next})
+			fixture.Receive(t, next.watches, "the new watch").tell(News{Kind: balancer.Change, Seq: 3})
+			e.news(told{watch: e.watch, News: News{Kind: balancer.Change, Seq: 3}}) // the new one has answered
+			for len(e.lists) > 0 {
+				e.step(nil)
+			}
+			if got := f.members["m0"].State != balancer.Active; got != c.drains {
+				t.Errorf("it drains: %v, want %v", got, c.drains)
+			}
+		})
+	}
+}
+
+// What may have run before a restart is no refusal when the engine ends.
+func TestEndPromisesNothingOfEarlierAttempts(t *testing.T) {
+	f := newFake()
+	e := idle(t, f, testSettings(), 0) // nobody to send to: it waits
+	c := newCall("1", "look")
+	c.Earlier = []Earlier{{Zone: "a", Sent: time.Now()}}
+	e.event(c)
+	e.end()
+	if r := fixture.Receive(t, c.reply, "the result"); r.Kind != Failed {
+		t.Errorf("%+v, want a failure", r)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,9 @@
 	probeTimeout = 400 * time.Millisecond
 	// agentWait is the pause before the source of a list that comes unasked is asked again.
 	agentWait = 500 * time.Millisecond
+	// agentFirst is how long calls wait for an agent's first word. What it has counts as told from the start of this process,
+	// and it answers at once; where it is silent the list as last held has to do.
+	agentFirst = 250 * time.Millisecond
 )
 
 // Config is what an Engine is made of.
@@ -86,7 +89,8 @@
 	watch  *watch
 	before *watch // the one that was open when the list was moved, until its successor has answered
 	seq    int64
-	lost   bool // the pushed list's source did not answer
+	held   map[string]float64 // the members that are active, and when each came up (BornMS)
+	lost   bool               // the pushed list's source did not answer
 	timer  *time.Timer
 	wake   time.Time // when the timer fires; zero: it is not set
 	acts   []balancer.Action
@@ -108,7 +112,7 @@
 	e := &Engine{bal: bal, clock: newClock(), transport: cfg.Transport, source: cfg.Source,
 		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls, cancelGone: cfg.CancelGone,
 		events: make(chan any, queueLength), lists: make(chan told, queueLength), closed: make(chan struct{}),
-		calls: map[string]*Call{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
+		calls: map[string]*Call{}, held: map[string]float64{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
 	e.timer.Stop()
 	e.beat.Stop()
 	e.known = cfg.Known
@@ -122,7 +126,7 @@
 // Do takes a call and returns its one result. It blocks until then, and no longer than ctx: a client that leaves gets
 // Left, and its attempts no answer.
 func (e *Engine) Do(ctx context.Context, c *Call) Result {
-	c.reply, c.begun = make(chan Result, 1), none
+	c.ctx, c.reply, c.begun = ctx, make(chan Result, 1), none
 	if !e.post(c) {
 		return Result{Kind: Refused, Err: errClosed}
 	}
@@ -178,6 +182,9 @@
 	defer e.beat.Stop()
 	defer e.timer.Stop()
 	e.begin()
+	if e.pushed {
+		e.first(ctx.Done())
+	}
 	for e.step(ctx.Done()) {
 	}
 	e.end()
@@ -193,6 +200,19 @@
 	}
 }
 
+// first waits for the agent's first word before any call is looked at. Guards against sending by a list that was old when this
+// process started.
+func (e *Engine) first(done <-chan struct{}) {
+	wait := time.NewTimer(agentFirst)
+	defer wait.Stop()
+	select {
+	case n := <-e.lists:
+		e.news(n)
+	case <-wait.C:
+	case <-done:
+	}
+}
+
 // step handles one event; false: done is.
 func (e *Engine) step(done <-chan struct{}) bool {
 	if e.sized.Load() > 0 {
@@ -268,6 +288,10 @@
 		c.answered = true
 		c.reply <- Result{Kind: Refused, Err: errFull}
 		return
+	case c.over(): // it left while it waited here: the module is not troubled with it
+		c.answered = true
+		c.leave()
+		return
 	}
 	if len(e.calls) == 0 {
 		e.stalls.start(time.Now())
@@ -285,6 +309,7 @@
 	switch {
 	case !c.answered:
 		e.finish(c)
+		c.leave()
 		e.handle(balancer.Gone{ID: c.ID})
 		if e.cancelGone {
 			c.cancel()
@@ -295,6 +320,9 @@
 	}
 }
 
+// leave is the result of a call whose client has left, for a Do that has not noticed yet.
+func (c *Call) leave() { c.reply <- Result{Kind: Left, Err: context.Cause(c.ctx)} }
+
 // began lets an attempt's stream be the call's result, unless the call has one.
 func (e *Engine) began(v began) {
 	c := v.call
@@ -324,6 +352,9 @@
 		if v.Answer != nil {
 			c.lastAns = v.Answer
 		}
+		if !c.answered && c.gone() { // before the module decides to try again
+			e.gone(c)
+		}
 	}
 	e.handle(balancer.Outcome{ID: c.ID, Attempt: v.n, Result: v.Result, Elapsed: v.Elapsed, Finished: c.answered,
 		Load: v.Load})
@@ -418,6 +449,9 @@
 	c := e.calls[a.ID]
 	var x Exchange
 	if c != nil {
+		if a.Before > 0 {
+			c.before = e.clock.time(a.Before)
+		}
 		x = e.transport.Attempt(a.Upstream, c, a.Timeout)
 	}
 	if x == nil { // the module holds to what it was told; this is a fault
@@ -452,7 +486,7 @@
 	e.watch.end()
 	e.before.end()
 	for _, c := range e.calls {
-		if len(c.attempts) == 0 {
+		if len(c.attempts) == 0 && len(c.Earlier) == 0 {
 			e.result(c, Result{Kind: Refused, Err: errClosed})
 		}
 		e.result(c, Result{Kind: Failed, Answer: c.lastAns, Err: errClosed})
@@ -509,13 +543,37 @@
 	e.subscribe()
 }
 
-// formerly takes what the old source tells after the list was moved: that something leaves, and nothing else.
+// formerly takes what the old source tells after the list was moved: that something leaves, and nothing else. What its whole
+// list no longer has is gone.
 func (e *Engine) formerly(n News) {
 	if n.Kind == balancer.Failed {
 		e.before = nil
 		return
 	}
 	leave := slices.DeleteFunc(slices.Clone(n.Members), func(m Member) bool { return m.State == balancer.Active })
+	if n.Kind == balancer.Full {
+		listed := map[string]bool{}
+		for _, m := range n.Members {
+			listed[m.ID] = true
+		}
+		for id := range e.held {
+			if !listed[id] {
+				leave = append(leave, Member{ID: id, State: balancer.Left})
+			}
+		}
+	}
+	if len(leave) > 0 {
+		e.take(News{Kind: balancer.Aside, Members: leave})
+	}
+}
+
+// late takes what a watch has told that another replaced meanwhile: a drain that was told stays told, of the process that it
+// was told of.
+func (e *Engine) late(n News) {
+	leave := slices.DeleteFunc(slices.Clone(n.Members), func(m Member) bool {
+		born, held := e.held[m.ID]
+		return m.State == balancer.Active || !held || born != m.BornMS
+	})
 	if len(leave) > 0 {
 		e.take(News{Kind: balancer.Aside, Members: leave})
 	}
@@ -532,7 +590,8 @@
 		e.formerly(n.News)
 		return
 	case n.watch != e.watch:
-		return // of a watch that another call has replaced
+		e.late(n.News)
+		return
 	}
 	e.seq = n.Seq
 	if n.Kind == balancer.Failed {
@@ -560,8 +619,16 @@
 // take hands what changed to the transport and the module.
 func (e *Engine) take(n News) {
 	e.transport.Update(n.Kind == balancer.Full || n.Kind == balancer.Saved, n.Members, time.Now())
+	if n.Kind == balancer.Full || n.Kind == balancer.Saved {
+		clear(e.held)
+	}
 	members := make([]balancer.Member, len(n.Members))
 	for i, m := range n.Members {
+		if m.State == balancer.Active {
+			e.held[m.ID] = m.BornMS
+		} else {
+			delete(e.held, m.ID)
+		}
 		members[i] = balancer.Member{Upstream: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
 			CameUp: e.clock.wall(m.BornMS)}
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -352,18 +352,19 @@
 // against a new source that turns everybody away, and drains that nobody tells meanwhile.
 func TestOldSourceIsHeardUntilTheNewOneAnswers(t *testing.T) {
 	f, next := newFake(), newFake()
-	e := idle(t, f, testSettings(), 2)
+	e := idle(t, f, testSettings(), 3)
 	old := fixture.Receive(t, f.watches, "the first watch")
 	e.event(moved{next})
 	e.event(moved{next}) // again, before it has answered
 	fixture.Receive(t, next.watches, "the new watch")
 	w := fixture.Receive(t, next.watches, "the newer watch")
+	// m0 drains, m1 stays, and m2 is gone without a word.
 	leaving := fleet(1)
 	leaving[0].State = balancer.Leaving
-	old.tell(News{Kind: balancer.Full, Seq: 8, Members: append(leaving, Member{ID: "new", Zone: "a"})})
+	old.tell(News{Kind: balancer.Full, Seq: 8, Members: append(leaving, fleet(2)[1], Member{ID: "new", Zone: "a"})})
 	e.step(nil)
 	e.arrive(newCall("1", "look"))
-	if old.ctx.Err() != nil || f.members["m0"].State == balancer.Active || f.members["new"].ID != "" || e.seq != OtherVersion {
+	if old.ctx.Err() != nil || f.members["m0"].State == balancer.Active || f.members["m2"].State == balancer.Active || f.members["new"].ID != "" || e.seq != OtherVersion {
 		t.Errorf("members %v, version %d, the old watch: %v", f.members, e.seq, old.ctx.Err())
 	}
 	x := fixture.Receive(t, f.sent, "the attempt")
--- a/internal/front/graphqlfront/server.go
+++ b/internal/front/graphqlfront/server.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -129,6 +130,15 @@
 	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		WriteTimeout: bodyTime + s.cfg.Deadline + answerTime, // guards against a client that does not read
 		ErrorLog:     slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug)}
+	var held sync.WaitGroup // connections
+	h.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			held.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			held.Done()
+		}
+	}
 	fault := make(chan error, 1)
 	go func() { fault <- h.Serve(netutil.LimitListener(l, s.cfg.Conns)) }()
 	select {
@@ -137,12 +147,24 @@
 	case <-ctx.Done():
 	}
 	s.stopping.Store(true)
-	last, cancel := context.WithTimeout(context.Background(), s.cfg.Deadline+answerTime)
-	defer cancel()
-	if err := h.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	// Not h.Shutdown: from then on net/http drops each request that it has just read, and closes the connection with no answer.
+	h.SetKeepAlivesEnabled(false)
+	if err := l.Close(); err != nil {
 		return err
 	}
-	return nil
+	<-fault // it has noticed
+	empty := make(chan struct{})
+	go func() {
+		held.Wait()
+		close(empty)
+	}()
+	last := time.NewTimer(s.cfg.Deadline + headerTime + bodyTime + answerTime)
+	defer last.Stop()
+	select {
+	case <-empty:
+	case <-last.C: // guards against a client that does not take its answer
+	}
+	return h.Close()
 }
 
 // ServeHTTP answers one request.
@@ -151,7 +173,8 @@
 	s.count.requests.Add(1)
 	a := s.answer(w, r, came)
 	if a.status == 0 {
-		return // the client has left
+		// The client has left. Guards against the empty 200 that net/http sends to one that has closed its sending half only.
+		panic(http.ErrAbortHandler)
 	}
 	if a.status >= 400 && a.status != http.StatusServiceUnavailable {
 		s.count.rejected.Add(1)
--- a/internal/front/httpfront/admit.go
+++ b/internal/front/httpfront/admit.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"hazelwing/internal/httpmsg"
 	"hazelwing/internal/netpeek"
 )
 
@@ -29,19 +30,71 @@
 	// Connections with no request open, those that wait longest in front.
 	strangers list.List // that never sent a good request
 	known     list.List
+	stopping  bool
+	closed    bool
+	empty     chan struct{} // closed once no more connections can come and none is held
 }
 
-// guest is a client's connection. The gate's lock guards it.
+// guest is a client's connection. The gate's lock guards it, but for what is said otherwise.
 type guest struct {
 	*net.TCPConn
 	gate   *gate
 	place  *list.Element // in queue; nil while a request is open
 	queue  *list.List
 	closed bool
+
+	served bool // an answer of some kind was written on it
+
+	reading sync.Mutex // guards these, and is taken after the gate's
+	inHand  bool       // a request has come whole, and its answer is not begun
+	spoke   bool       // something was read since the last answer was begun
+	ahead   []byte     // what came while a request was in hand
+}
+
+// maxAhead bounds what a client may send while its request is in hand before it is no longer read: a request's size.
+const maxAhead = maxHeader + httpmsg.MaxBody
+
+// Read reads on while a request is in hand, and puts by what comes. Guards against clients that send more and leave:
+// net/http's read in the background ends with the first byte, and the close behind it would go unnoticed.
+func (c *guest) Read(b []byte) (int, error) {
+	if n := c.putBy(nil, b); n > 0 {
+		return n, nil
+	}
+	for into := b; ; {
+		n, err := c.TCPConn.Read(into)
+		if n == 0 || err != nil {
+			return c.putBy(into[:n], nil), err
+		}
+		if n := c.putBy(into[:n], b); n > 0 {
+			return n, nil
+		}
+		if len(into) < bodyStart {
+			into = make([]byte, bodyStart)
+		}
+	}
+}
+
+// putBy takes what came, and gives out into b what there is, unless a request is in hand and more can be put by.
+func (c *guest) putBy(came, b []byte) int {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.spoke = c.spoke || len(came) > 0
+	if !c.inHand && len(c.ahead) == 0 {
+		return copy(b, came)
+	}
+	c.ahead = append(c.ahead, came...)
+	if c.inHand && len(c.ahead) < maxAhead {
+		return 0
+	}
+	n := copy(b, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n
 }
 
 func newGate(l net.Listener, limit int, reached func()) *gate {
-	return &gate{TCPListener: l.(*net.TCPListener), max: limit, reached: reached}
+	return &gate{TCPListener: l.(*net.TCPListener), max: limit, reached: reached, empty: make(chan struct{})}
 }
 
 // Accept returns the next connection that there is a place for.
@@ -74,15 +127,17 @@
 	n := &guest{TCPConn: c, gate: g}
 	g.mu.Lock()
 	if g.held >= g.max {
-		e := g.strangers.Front()
-		if e == nil {
-			e = g.known.Front()
+		old := longest(&g.strangers)
+		if old == nil && g.strangers.Len() > 0 {
+			old = g.strangers.Front().Value.(*guest) // all have sent something, and perhaps never more
+		}
+		if old == nil {
+			old = longest(&g.known)
 		}
-		if e == nil {
+		if old == nil {
 			g.mu.Unlock()
 			return nil
 		}
-		old := e.Value.(*guest)
 		old.leave()
 		defer old.TCPConn.Close()
 	}
@@ -92,6 +147,68 @@
 	return n
 }
 
+// mostLooks bounds what a newcomer to a full gate costs.
+const mostLooks = 8
+
+// longest is the connection that has waited longest of those on which nothing has come. Guards against closing one whose next
+// request is read already, or waits to be. The lock is held.
+func longest(queue *list.List) *guest {
+	looks := 0
+	for e := queue.Front(); e != nil && looks < mostLooks; e = e.Next() {
+		looks++
+		if c := e.Value.(*guest); c.quiet() {
+			return c
+		}
+	}
+	return nil
+}
+
+// quiet says that nothing has come since the last answer.
+func (c *guest) quiet() bool {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return !c.spoke && netpeek.At(c.TCPConn) != netpeek.Spoke
+}
+
+// stop closes the connections that wait between two requests, and from then on each that would begin to, unless a request has
+// come on it. Guards against closing them later, when a client whose request crosses that could no longer come again:
+// newcomers are still let in.
+func (g *gate) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping = true
+	for _, queue := range []*list.List{&g.known, &g.strangers} {
+		for e := queue.Front(); e != nil; {
+			c := e.Value.(*guest)
+			e = e.Next()
+			c.retire()
+		}
+	}
+}
+
+// noMore says that Accept will not be called again.
+func (g *gate) noMore() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.ended()
+}
+
+// ended tells that the last connection has gone, once no more can come. The lock is held.
+func (g *gate) ended() {
+	if g.closed && g.held == 0 {
+		close(g.empty)
+	}
+}
+
+// retire closes a connection that waits after an answer, unless something has come on it since. The lock is held.
+func (c *guest) retire() {
+	if c.served && c.quiet() {
+		c.leave()
+		c.TCPConn.Close()
+	}
+}
+
 // wait puts a connection at a queue's end. The lock is held.
 func (c *guest) wait(queue *list.List) { c.queue, c.place = queue, queue.PushBack(c) }
 
@@ -109,6 +226,7 @@
 		c.closed = true
 		c.gate.held--
 		c.takeOut()
+		c.gate.ended()
 	}
 }
 
@@ -138,23 +256,39 @@
 	if c == nil {
 		return
 	}
+	c.reading.Lock()
+	c.inHand = true
+	c.reading.Unlock()
 	c.gate.mu.Lock()
 	c.takeOut()
 	c.gate.mu.Unlock()
 }
 
+// done says that an answer is about to be written: what is read from then on is of the next request.
+func (c *guest) done() {
+	if c != nil {
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		c.inHand, c.spoke = false, len(c.ahead) > 0
+	}
+}
+
 // gone says that the client has closed its connection. Guards against work for nobody where this machine is behind: what
 // a client sent waits in the kernel, unread, for longer than the client does, and net/http notices the close only once it
 // is read.
-func (c *guest) gone() bool { return c != nil && netpeek.At(c.TCPConn) == netpeek.Gone }
+func (c *guest) gone() bool { return c != nil && netpeek.Closed(c.TCPConn) }
 
 // answered says that the answer is out.
 func (c *guest) answered() {
 	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.served = true
 	if !c.closed && c.place == nil {
 		c.wait(&c.gate.known)
 	}
-	c.gate.mu.Unlock()
+	if !c.closed && c.gate.stopping {
+		c.retire()
+	}
 }
 
 // watch makes h keep the gate's connections: a request's context holds the one that it came on.
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -35,6 +34,11 @@
 	stopAfter = 600 * time.Millisecond
 	stopQuiet = 200 * time.Millisecond
 	stopExtra = time.Second
+	// SIGKILL comes no sooner than the longest deadline, killLongest at most, and killAfter more after SIGTERM. What has no
+	// result stopMargin before that is answered without one: what SIGKILL finds unanswered is lost.
+	killAfter   = 700 * time.Millisecond
+	killLongest = 3 * time.Second
+	stopMargin  = 200 * time.Millisecond
 	// answerTime is what a request's answer may take beyond its deadline before the program ends all the same.
 	answerTime = time.Second
 )
@@ -54,6 +58,9 @@
 	keys     bool                       // unsafe requests may bring a key
 	full     func()                     // tells that all places for connections are taken
 	stopping atomic.Bool
+	rest     time.Duration   // from the stop until nothing is waited for any more
+	work     context.Context // of all requests; ends then
+	cut      context.CancelFunc
 }
 
 // New is a front for calls of these classes.
@@ -63,6 +70,8 @@
 		s.effects[c.Name] = c.Effect
 		s.longest = max(s.longest, c.Deadline)
 	}
+	s.rest = killAfter + min(s.longest, killLongest) - stopMargin
+	s.work, s.cut = context.WithCancel(context.Background())
 	return s
 }
 
@@ -85,7 +94,9 @@
 		WriteTimeout:      bodyTime + s.longest + answerTime, // guards against a client that does not read
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		BaseContext:       func(net.Listener) context.Context { return s.work },
 	}
+	defer s.cut()
 	g.watch(h)
 	fault := make(chan error, 1)
 	go func() { fault <- h.Serve(g) }()
@@ -95,13 +106,23 @@
 	case <-ctx.Done():
 	}
 	s.stopping.Store(true)
+	defer time.AfterFunc(s.rest, s.cut).Stop()
+	begun := time.Now()
+	g.stop()
 	s.awaitQuiet(g)
-	last, cancel := context.WithTimeout(context.Background(), s.longest+answerTime)
-	defer cancel()
-	if err := h.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	// Not h.Shutdown: from then on net/http drops each request that it has just read, and closes the connection with no answer.
+	if err := g.TCPListener.Close(); err != nil {
 		return err
 	}
-	return nil
+	<-fault // it has noticed
+	g.noMore()
+	last := time.NewTimer(s.rest - time.Since(begun) + headerTime + bodyTime + answerTime)
+	defer last.Stop()
+	select {
+	case <-g.empty:
+	case <-last.C: // guards against a client that does not take its answer
+	}
+	return h.Close()
 }
 
 // awaitQuiet returns when no more connections are to be expected. Guards against closing the listener with
@@ -132,16 +153,15 @@
 	} else if c, refusal := s.read(w, r, came); c == nil {
 		// What follows on the connection may be the rest of what was turned down: it is never read as a request.
 		a, done = refusal, true
-	} else if guestOf(r).gone() {
+	} else if client := guestOf(r); client.gone() || s.work.Err() != nil {
 		a, done = refused(0), true // nothing was sent on, and one that has closed its sending half only may read it
 	} else {
-		guestOf(r).opened()
+		client.opened()
+		c.Left = client.gone
 		result := s.engine.Do(r.Context(), c)
-		if result.Kind == engine.Left {
-			return
-		}
-		a = final(result)
+		a, done = final(result), result.Kind == engine.Left
 	}
+	guestOf(r).done()
 	if done || s.stopping.Load() || guestOf(r).crowded() {
 		w.Header().Set("Connection", "close")
 	}
@@ -258,6 +278,8 @@
 		return refused(r.RetryIn)
 	case engine.Duplicate:
 		return plain(http.StatusBadRequest, "a request with this id is in hand")
+	case engine.Left: // guards against net/http's empty 200 for who has closed its sending half only
+		return failed(true)
 	}
 	return failed(r.TimedOut)
 }
--- a/internal/membership/watch/watch.go
+++ b/internal/membership/watch/watch.go
@@ -3,8 +3,6 @@
 package watch
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -137,7 +135,8 @@
 	}
 	defer resp.Body.Close()
 	lines, lists := make(chan line), make(chan listed, 1)
-	go d.lines(ctx, resp.Body, lines)
+	objects := newObjects(resp.Body)
+	go d.lines(ctx, objects, lines)
 	begun := time.Now()
 	c := newCourse(seq, d.asked, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for {
@@ -148,7 +147,7 @@
 		var news []engine.News
 		select {
 		case <-ctx.Done():
-			return c.from(false), context.Cause(ctx)
+			return c.from(objects.partly.Load()), context.Cause(ctx)
 		case l := <-lines:
 			quiet.Reset(d.silence)
 			if l.err != nil {
@@ -191,18 +190,20 @@
 }
 
 // lines reads a watch's lines until they end, or ctx does.
-func (d *Discovery) lines(ctx context.Context, body io.Reader, out chan<- line) {
+func (d *Discovery) lines(ctx context.Context, objects *objects, out chan<- line) {
 	give := func(l line) {
 		select {
 		case out <- l:
 		case <-ctx.Done():
 		}
 	}
-	s := bufio.NewScanner(body)
-	s.Buffer(nil, longestLine)
-	for s.Scan() {
-		text := bytes.TrimSpace(s.Bytes())
-		if len(text) == 0 {
+	for {
+		text, err := objects.next()
+		if err != nil {
+			give(line{unread: errors.Is(err, errOdd), err: err})
+			return
+		}
+		if text == nil {
 			give(line{})
 			continue
 		}
@@ -213,11 +214,6 @@
 		}
 		give(line{news: &n})
 	}
-	if err := s.Err(); err != nil {
-		give(line{unread: errors.Is(err, bufio.ErrTooLong), err: err})
-		return
-	}
-	give(line{err: errors.New("the watch ended")})
 }
 
 // call asks for the list. Its answer, whose body the caller closes, is a good one.
@@ -246,6 +242,9 @@
 
 // whole asks for the whole list.
 func (d *Discovery) whole(ctx context.Context) (engine.News, error) {
+	// Guards against an answer that never ends beside a watch that goes on: it would not be asked for again.
+	ctx, cancel := context.WithTimeout(ctx, d.silence)
+	defer cancel()
 	resp, err := d.call(ctx, "")
 	if err != nil {
 		return engine.News{}, err
--- a/internal/membership/watch/watch_test.go
+++ b/internal/membership/watch/watch_test.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,6 +12,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,7 +191,7 @@
 // What an unreadable line said is missing from then on: the whole list has to be asked for.
 func TestUnreadableLine(t *testing.T) {
 	all := watching(t, fixture.Patience, func(w http.ResponseWriter, r *http.Request) {
-		io.WriteString(w, wholeList+"\n{\"seq\":44,\n")
+		io.WriteString(w, wholeList+"\n{\"seq\":44,}\n")
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	})
@@ -210,3 +213,128 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// Lists may come indented: whole ones and those of a watch, over many lines, in pieces, several at once, with braces inside
+// strings. An empty line is a sign of life between two, and none inside of one.
+func TestIndentedLists(t *testing.T) {
+	indent := func(text string) string {
+		var out bytes.Buffer
+		if err := json.Indent(&out, []byte(text), "", "\t"); err != nil {
+			t.Fatal(err)
+		}
+		return out.String()
+	}
+	odd := strings.ReplaceAll(object(3, false, "c"), `"127.0.0.1:1"`, `"}{\"]:1"`)
+	for name, pieces := range map[string][]string{
+		"a line each":       {object(1, true, "a") + "\n", object(2, false, "b") + "\n", odd + "\n"},
+		"indented":          {indent(object(1, true, "a")) + "\n", indent(object(2, false, "b")) + "\n", indent(odd) + "\n"},
+		"in one piece":      {indent(object(1, true, "a")) + object(2, false, "b") + "\r\n\r\n" + indent(odd)},
+		"byte by byte":      strings.Split(indent(object(1, true, "a"))+"\n\n\n"+indent(object(2, false, "b"))+indent(odd), ""),
+		"no line's end yet": {object(1, true, "a"), object(2, false, "b"), odd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := watchingFrom(t, engine.NoVersion, fixture.Patience, func(w http.ResponseWriter, r *http.Request) {
+				for _, p := range pieces {
+					io.WriteString(w, p)
+					w.(http.Flusher).Flush()
+				}
+				<-r.Context().Done()
+			})
+			held := map[string]bool{}
+			for seq := int64(0); seq < 3; {
+				n := fixture.Receive(t, all, "the news")
+				if n.Kind == balancer.Failed {
+					t.Fatalf("failed: %v", n.Err)
+				}
+				hold(held, n)
+				seq = n.Seq
+			}
+			if got := fmt.Sprint(slices.Sorted(maps.Keys(held))); got != "[a b c]" {
+				t.Errorf("it holds %s", got)
+			}
+		})
+	}
+}
+
+// A watch that falls silent is given up in time wherever it does so, also where bytes go on to come that make no object; what
+// it may have brought in part is asked for anew.
+func TestSilenceAnywhere(t *testing.T) {
+	trickle := func(w http.ResponseWriter, r *http.Request, text string) {
+		io.WriteString(w, text)
+		for r.Context().Err() == nil {
+			io.WriteString(w, " ")
+			w.(http.Flusher).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	for name, c := range map[string]struct {
+		serve func(w http.ResponseWriter, r *http.Request)
+		from  int64
+	}{
+		"before the headers":    {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 41},
+		"before the first line": {func(w http.ResponseWriter, r *http.Request) { w.(http.Flusher).Flush(); <-r.Context().Done() }, 41},
+		"after an empty line": {func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "\n")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}, 41},
+		"bytes between two":         {func(w http.ResponseWriter, r *http.Request) { trickle(w, r, "\n") }, 41},
+		"bytes inside of one":       {func(w http.ResponseWriter, r *http.Request) { trickle(w, r, `{"seq":44,`) }, engine.OtherVersion},
+		"while the list is awaited": {func(w http.ResponseWriter, r *http.Request) { silentList(w, r) }, engine.OtherVersion},
+		"in the middle of an object": {func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, `{"seq":44,`)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}, engine.OtherVersion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			from := int64(41)
+			if name == "while the list is awaited" {
+				from = engine.OtherVersion
+			}
+			all := watchingFrom(t, from, 200*time.Millisecond, c.serve)
+			for {
+				n := fixture.Receive(t, all, "the failure")
+				if n.Kind == balancer.Failed {
+					if n.Seq != c.from {
+						t.Errorf("it goes on from %d, want %d", n.Seq, c.from)
+					}
+					return
+				}
+			}
+		})
+	}
+}
+
+// silentList tells a change and never the whole list.
+func silentList(w http.ResponseWriter, r *http.Request) {
+	if r.URL.RawQuery != "" {
+		io.WriteString(w, object(44, false, "b")+"\n")
+	}
+	w.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
+// A call for the whole list that never ends, beside a watch that goes on, is given up and made again.
+func TestWholeListThatNeverEnds(t *testing.T) {
+	var calls atomic.Int32
+	all := watchingFrom(t, engine.NoVersion, 200*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" {
+			calls.Add(1)
+			io.WriteString(w, `{"seq":44,`)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, object(44, false, "b")+"\n")
+		for r.Context().Err() == nil {
+			io.WriteString(w, "\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	if n := fixture.Receive(t, all, "the failure"); n.Kind != balancer.Failed || calls.Load() != 1 {
+		t.Errorf("%+v after %d calls", n, calls.Load())
+	}
+}
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what can be seen of the other side.
@@ -40,3 +42,24 @@
 	})
 	return state
 }
+
+// Closed looks whether the other side has closed or broken a connection, also behind bytes that nobody has read yet. Half a
+// close, of its sending alone, looks the same.
+func Closed(c net.Conn) bool {
+	switch At(c) {
+	case Gone:
+		return true
+	case Silent:
+		return false
+	}
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State != unix.BPF_TCP_ESTABLISHED && info.State != unix.BPF_TCP_SYN_RECV
+	})
+	return closed
+}
--- a/internal/netpeek/netpeek_test.go
+++ b/internal/netpeek/netpeek_test.go
@@ -53,3 +53,47 @@
 		t.Error("what has no descriptor")
 	}
 }
+
+// A close is seen behind what nobody has read, and only where there is one.
+func TestClosed(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		end   func(*net.TCPConn)
+		close bool
+	}{
+		"silent":          {"", func(*net.TCPConn) {}, false},
+		"spoke":           {"x", func(*net.TCPConn) {}, false},
+		"FIN":             {"", func(c *net.TCPConn) { c.Close() }, true},
+		"half of it":      {"", func(c *net.TCPConn) { c.CloseWrite() }, true},
+		"FIN behind text": {"xyz", func(c *net.TCPConn) { c.Close() }, true},
+		"reset":           {"xyz", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			there, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer there.Close()
+			here, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer here.Close()
+			there.Write([]byte(c.text))
+			if c.text != "" {
+				fixture.Until(t, "the text", func() bool { return At(here) == Spoke })
+			}
+			c.end(there.(*net.TCPConn))
+			if c.close {
+				fixture.Until(t, "the close", func() bool { return Closed(here) })
+			} else if Closed(here) {
+				t.Error("closed")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/transport/http1/crossing_test.go
@@ -0,0 +1,158 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+	"hazelwing/internal/engine"
+	"hazelwing/internal/httpmsg"
+	"hazelwing/internal/standin/fixture"
+)
+
+// Where two events cross at a connection to an upstream: docs/design/crossings.md has the table.
+
+// A client leaves, or a drain is told, while its attempt waits for a dial: the connection comes up, and nothing is written to
+// it. It is kept where others may use it, and no place is lost.
+func TestDialComesUpTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		happens func(p *Pool, x *exchange, left *atomic.Bool, addr string)
+		want    balancer.Result
+		open    int
+	}{
+		"its client left":         {func(_ *Pool, _ *exchange, left *atomic.Bool, _ string) { left.Store(true) }, balancer.Moot, 1},
+		"it has its answer":       {func(_ *Pool, x *exchange, _ *atomic.Bool, _ string) { x.Forbid() }, balancer.Cancelled, 0},
+		"the upstream drains":     {func(p *Pool, _ *exchange, _ *atomic.Bool, a string) { p.Update(false, draining(active(a)), time.Now()) }, balancer.Moot, 0},
+		"it is gone":              {func(p *Pool, _ *exchange, _ *atomic.Bool, _ string) { p.Update(true, nil, time.Now()) }, balancer.Moot, 0},
+		"another is there by now": {func(p *Pool, _ *exchange, _ *atomic.Bool, a string) { p.Update(true, reborn(a), time.Now()) }, balancer.Moot, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var bytes atomic.Int32
+			accepted := make(chan bool, 1)
+			addr := fixture.Raw(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+				accepted <- true
+				if _, err := r.ReadByte(); err == nil {
+					bytes.Add(1)
+				}
+			})
+			p := testPool()
+			knownUpstream(t, p, addr)
+			dialling, up := make(chan bool), make(chan bool)
+			p.dial.Control = func(string, string, syscall.RawConn) error {
+				dialling <- true
+				<-up
+				return nil
+			}
+			var left atomic.Bool
+			call := &engine.Call{Left: left.Load, Payload: &httpmsg.Request{Method: "POST", URI: "/pay/x", Header: http.Header{}, Body: []byte("b")}}
+			x := p.Attempt("s", call, fixture.Patience).(*exchange)
+			done := make(chan engine.Outcome, 1)
+			go func() { done <- run(x) }()
+			fixture.Receive(t, dialling, "the dial")
+			c.happens(p, x, &left, addr)
+			close(up)
+			wantResult(t, fixture.Receive(t, done, "the outcome"), c.want)
+			p.mu.Lock()
+			open := p.open
+			p.mu.Unlock()
+			if bytes.Load() > 0 || open != c.open {
+				t.Errorf("%d requests were begun, %d places are taken, want %d", bytes.Load(), open, c.open)
+			}
+		})
+	}
+}
+
+// reborn lists upstream "s" as another process.
+func reborn(addr string) []engine.Member {
+	m := active(addr)
+	m[0].BornMS = 1
+	return m
+}
+
+// The same for a place among the open connections: who waited for it hands it on.
+func TestPlaceComesTooLate(t *testing.T) {
+	came := make(chan net.Conn, 3)
+	addr := fixture.Raw(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for fixture.ReadRequest(r) != nil {
+			came <- conn
+		}
+	})
+	p := testPool()
+	p.max, p.dial.Timeout = 1, fixture.Patience
+	u := knownUpstream(t, p, addr)
+	first := make(chan engine.Outcome, 1)
+	go func() { first <- run(p.exchange(u, fixture.Patience, testRequest("POST"))) }()
+	conn := fixture.Receive(t, came, "the first request")
+	waits := func(n int) {
+		fixture.Until(t, "the waiting", func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.waiting) == n
+		})
+	}
+	var left atomic.Bool
+	outcomes := make(chan engine.Outcome, 2)
+	attempt := func(c *engine.Call) {
+		c.Payload = &httpmsg.Request{Method: "POST", URI: "/pay/x", Header: http.Header{}, Body: []byte("b")}
+		x := p.Attempt("s", c, fixture.Patience)
+		go func() { outcomes <- x.Run(nil) }()
+	}
+	attempt(&engine.Call{Left: left.Load})
+	waits(1)
+	attempt(new(engine.Call))
+	waits(2)
+	left.Store(true)
+	io.WriteString(conn, fixture.OKAnswer)
+	wantResult(t, fixture.Receive(t, first, "the first outcome"), balancer.OK)
+	wantResult(t, fixture.Receive(t, outcomes, "the outcome of the one that left"), balancer.Moot)
+	io.WriteString(fixture.Receive(t, came, "the other's request"), fixture.OKAnswer)
+	wantResult(t, fixture.Receive(t, outcomes, "the other's outcome"), balancer.OK)
+	if len(came) > 0 {
+		t.Error("the one that left was sent on")
+	}
+}
+
+// A second answer that comes after the first is no answer to the next request: while it may still come, the connection is left
+// alone, and once it has come the connection is not used again.
+func TestSecondAnswerIsNobodysAnswer(t *testing.T) {
+	conns := make(chan net.Conn, 10)
+	addr := fixture.Raw(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		for i := 0; fixture.ReadRequest(r) != nil; i++ {
+			if n == 0 && i > 0 {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother") // the late second answer to the first
+			} else {
+				io.WriteString(conn, fixture.OKAnswer)
+			}
+			conns <- conn
+		}
+	})
+	p := testPool()
+	p.settle = fixture.Patience
+	u := knownUpstream(t, p, addr)
+	ask := func() string {
+		t.Helper()
+		o := run(p.exchange(u, fixture.Patience, testRequest("GET")))
+		wantResult(t, o, balancer.OK)
+		return string(o.Answer.(*httpmsg.Answer).Body)
+	}
+	ask()
+	first := fixture.Receive(t, conns, "the first connection")
+	// The next request follows before the second answer: it must not be written where that will come.
+	if got := ask(); got != "ok" {
+		t.Errorf("the next request got %q", got)
+	}
+	// And after it: the connection that has spoken unasked is closed.
+	io.WriteString(first, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+	p.settle = 0
+	fixture.Until(t, "the second answer", func() bool { return !u.idle[0].silent() })
+	u.idle = u.idle[:1]
+	if got := ask(); got != "ok" {
+		t.Errorf("the request after the second answer got %q", got)
+	}
+}
--- a/internal/transport/http1/exchange.go
+++ b/internal/transport/http1/exchange.go
@@ -25,6 +25,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	build  func(left time.Duration) *http.Request
+	permit func() bool                 // whether it may still begin
 	check  func(*httpmsg.Answer) error // of an answer with status 200; nil: any is good
 	load   bool                        // the answer is a load report
 
@@ -41,7 +42,7 @@
 	}
 	r := c.Payload.(*httpmsg.Request)
 	x := p.exchange(u, timeout, func(left time.Duration) *http.Request { return onward(r, left) })
-	x.check = r.Check
+	x.check, x.permit = r.Check, c.Permit()
 	return x
 }
 
@@ -76,7 +77,7 @@
 }
 
 func (p *Pool) exchange(u *upstream, timeout time.Duration, build func(time.Duration) *http.Request) *exchange {
-	x := &exchange{pool: p, up: u, sent: time.Now(), build: build}
+	x := &exchange{pool: p, up: u, sent: time.Now(), build: build, permit: func() bool { return true }}
 	x.ctx, x.cancel = context.WithDeadline(context.Background(), x.sent.Add(timeout))
 	return x
 }
@@ -95,12 +96,12 @@
 	}
 }
 
-// begin claims the right to write to c: neither was the exchange stopped, nor has the upstream's drain been known for
-// longer than its grace, nor has another process taken its place. Guards against a dial that finishes late.
+// begin claims the right to write to c: neither was the exchange stopped, nor has its client left, nor is the upstream's drain
+// known, nor has another process taken its place. Guards against a dial that finishes late.
 func (x *exchange) begin(c *conn) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.stopped || x.ctx.Err() != nil || !x.pool.maySend(x.up, c.to) {
+	if x.stopped || x.ctx.Err() != nil || !x.permit() || !x.pool.maySend(x.up, c.to) {
 		return false
 	}
 	x.begun = true
@@ -118,6 +119,9 @@
 // attempt writes the request once and reads its answer. What proves that a request never ran (the platform's protocol
 // page) is all in here: unsent, for a request not written whole, and result, for an answer that says so.
 func (x *exchange) attempt() engine.Outcome {
+	if !x.permit() { // a dial for it would be for nothing
+		return engine.Outcome{Result: x.unsent(nil)}
+	}
 	c, text, err := x.ready()
 	if err != nil {
 		return engine.Outcome{Result: x.unsent(err), Err: err}
@@ -132,6 +136,10 @@
 	release := context.AfterFunc(x.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer release()
 	if !x.begin(c) {
+		if release() { // nothing was written: others may use it
+			keep = true
+			x.pool.put(x.up, c)
+		}
 		return engine.Outcome{Result: x.unsent(x.ctx.Err()), Err: x.ctx.Err()}
 	}
 	c.limit.N = maxHead + x.pool.body
--- a/internal/transport/http1/http1_test.go
+++ b/internal/transport/http1/http1_test.go
@@ -20,7 +20,9 @@
 )
 
 func testPool() *Pool {
-	return New(Config{Connect: time.Second, Idle: 15 * time.Second, Grace: 250 * time.Millisecond, Conns: 100})
+	p := New(Config{Connect: time.Second, Idle: 15 * time.Second, Grace: 250 * time.Millisecond, Conns: 100})
+	p.settle = 0 // TestSecondAnswerIsNobodysAnswer has one
+	return p
 }
 
 // active lists upstream "s" at addr.
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -29,6 +29,9 @@
 	defaultDial  = 250 * time.Millisecond
 	defaultGrace = 250 * time.Millisecond
 	defaultConns = 500
+	// settleTime is how long a connection is left alone after an answer. Guards against a second answer that comes some
+	// milliseconds later: nothing in it tells that it is not the next request's.
+	settleTime = 30 * time.Millisecond
 )
 
 // conn is a connection to an upstream, with at most one request on it.
@@ -71,12 +74,13 @@
 
 // Pool is the transport: it holds the idle connections to all upstreams.
 type Pool struct {
-	dial  net.Dialer
-	idle  time.Duration // how long a connection is kept
-	grace time.Duration // how long after news of its drain an upstream may still be sent to
-	max   int           // open connections
-	full  func()        // tells that as many are open
-	body  int64         // bytes of an answer's body
+	dial   net.Dialer
+	idle   time.Duration // how long a connection is kept
+	settle time.Duration // how long it is left alone after an answer
+	grace  time.Duration // how long after news of its drain an upstream may still be sent to
+	max    int           // open connections
+	full   func()        // tells that as many are open
+	body   int64         // bytes of an answer's body
 
 	mu      sync.Mutex
 	open    int
@@ -116,7 +120,7 @@
 	if c.Full == nil {
 		c.Full = func() {}
 	}
-	return &Pool{full: c.Full, dial: net.Dialer{Timeout: c.Connect}, idle: time.Duration(float64(c.Idle) * idleShare), grace: c.Grace,
+	return &Pool{full: c.Full, settle: settleTime, dial: net.Dialer{Timeout: c.Connect}, idle: time.Duration(float64(c.Idle) * idleShare), grace: c.Grace,
 		max: cmp.Or(c.Conns, defaultConns), body: max(c.Answer, leastAnswer), ups: map[string]*upstream{}}
 }
 
@@ -137,16 +141,21 @@
 		}
 		p.mu.Lock()
 		for _, u := range p.ups {
-			n := 0
-			for n < len(u.idle) && time.Since(u.idle[n].since) > p.idle {
-				n++
-			}
-			p.drop(u, n)
+			p.dropOld(u, time.Now())
 		}
 		p.mu.Unlock()
 	}
 }
 
+// dropOld closes the connections to u that have stood idle for long. The lock is held.
+func (p *Pool) dropOld(u *upstream, now time.Time) {
+	n := 0
+	for n < len(u.idle) && now.Sub(u.idle[n].since) >= p.idle {
+		n++
+	}
+	p.drop(u, n)
+}
+
 // drop closes the n oldest idle connections of u. The lock is held.
 func (p *Pool) drop(u *upstream, n int) {
 	for _, c := range u.idle[:n] {
@@ -253,11 +262,13 @@
 	p.drop(u, len(u.idle))
 }
 
-// maySend says whether a request may still be written to a connection to u's process.
+// maySend says whether a request may still be written to a connection to u's process. Nothing of the drain's grace is used:
+// it counts from when the drain was written to us, and how long we took to read that is not known. Guards against a dial that
+// comes up late at a process that was behind when the news came.
 func (p *Pool) maySend(u *upstream, to process) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return u.process == to && (u.left.IsZero() || time.Since(u.left) < p.grace)
+	return u.process == to && u.left.IsZero()
 }
 
 // errFull says that this sidecar holds as many connections as it may.
@@ -267,13 +278,15 @@
 func (p *Pool) get(ctx context.Context, u *upstream) (*conn, error) {
 	p.mu.Lock()
 	to := u.process
-	if n := len(u.idle); n > 0 && time.Since(u.idle[n-1].since) < p.idle {
-		c := u.idle[n-1]
-		u.idle = slices.Delete(u.idle, n-1, n)
-		p.mu.Unlock()
-		return c, nil
+	now := time.Now()
+	p.dropOld(u, now)
+	for i, c := range slices.Backward(u.idle) {
+		if now.Sub(c.since) >= p.settle {
+			u.idle = slices.Delete(u.idle, i, i+1)
+			p.mu.Unlock()
+			return c, nil
+		}
 	}
-	p.drop(u, len(u.idle))    // the latest is too old, and so are the others
 	for _, o := range p.ups { // make room: an idle connection can be opened again
 		if p.open >= p.max && len(o.idle) > 0 {
 			p.drop(o, 1)
