Front: what is read from a client is known in the same step, so a stop cannot cross it

Seen: TestStopClosesWhatWaitsWhileNewcomersAreLetIn failed in about one of 300 runs with -race on two cores: the connection was closed between net/http's read of the next request's first byte and the note of it (trace: closed while the note was set right after). Ruled out: the order of answered() and the background read (the note is reset before the answer is written).

--- a/internal/front/httpfront/admit.go
+++ b/internal/front/httpfront/admit.go
@@ -3,11 +3,14 @@
 import (
 	"container/list"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hazelwing/internal/httpmsg"
@@ -39,6 +42,7 @@
 type guest struct {
 	*net.TCPConn
 	gate   *gate
+	raw    syscall.RawConn
 	place  *list.Element // in queue; nil while a request is open
 	queue  *list.List
 	closed bool
@@ -56,33 +60,58 @@
 
 // Read reads on while a request is in hand, and puts by what comes. Guards against clients that send more and leave:
 // net/http's read in the background ends with the first byte, and the close behind it would go unnoticed.
-func (c *guest) Read(b []byte) (int, error) {
-	if n := c.putBy(nil, b); n > 0 {
+func (c *guest) Read(b []byte) (n int, err error) {
+	if n := c.putBy(b); n > 0 || len(b) == 0 {
 		return n, nil
 	}
-	for into := b; ; {
-		n, err := c.TCPConn.Read(into)
-		if n == 0 || err != nil {
-			return c.putBy(into[:n], nil), err
-		}
-		if n := c.putBy(into[:n], b); n > 0 {
-			return n, nil
-		}
-		if len(into) < bodyStart {
-			into = make([]byte, bodyStart)
+	into := b
+	fault := c.raw.Read(func(fd uintptr) bool {
+		// What was taken from the kernel is known at once. Guards against closing a connection between the two (retire).
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		for {
+			came, fault := syscall.Read(int(fd), into)
+			switch {
+			case fault == syscall.EINTR:
+				continue
+			case fault == syscall.EAGAIN:
+				return false
+			case fault != nil:
+				err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", fault)}
+				return true
+			case came == 0:
+				err = io.EOF
+				return true
+			}
+			c.spoke = true
+			if !c.inHand && len(c.ahead) == 0 {
+				n = came // it is in b
+				return true
+			}
+			c.ahead = append(c.ahead, into[:came]...)
+			if n = c.take(b); n > 0 {
+				return true
+			}
+			if len(into) < bodyStart {
+				into = make([]byte, bodyStart)
+			}
 		}
+	})
+	if fault != nil {
+		return 0, fault
 	}
+	return n, err
 }
 
-// putBy takes what came, and gives out into b what there is, unless a request is in hand and more can be put by.
-func (c *guest) putBy(came, b []byte) int {
+// putBy gives out what was put by.
+func (c *guest) putBy(b []byte) int {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	c.spoke = c.spoke || len(came) > 0
-	if !c.inHand && len(c.ahead) == 0 {
-		return copy(b, came)
-	}
-	c.ahead = append(c.ahead, came...)
+	return c.take(b)
+}
+
+// take gives out what was put by, unless a request is in hand and more can be. The lock of reading is held.
+func (c *guest) take(b []byte) int {
 	if c.inHand && len(c.ahead) < maxAhead {
 		return 0
 	}
@@ -124,7 +153,11 @@
 
 // admit gives c a place, another's where need be, or returns nil.
 func (g *gate) admit(c *net.TCPConn) *guest {
-	n := &guest{TCPConn: c, gate: g}
+	raw, err := c.SyscallConn()
+	if err != nil { // it is closed
+		return nil
+	}
+	n := &guest{TCPConn: c, gate: g, raw: raw}
 	g.mu.Lock()
 	if g.held >= g.max {
 		old := longest(&g.strangers)
