--- a/internal/transport/http1/exchange.go
+++ b/internal/transport/http1/exchange.go
@@ -15,6 +15,7 @@
 	"hazelwing/balancer"
 	"hazelwing/internal/engine"
 	"hazelwing/internal/httpmsg"
+	"hazelwing/internal/netpeek"
 )
 
 // exchange is one request to an upstream and its answer: an attempt or a probe.
@@ -188,9 +189,15 @@
 			c.Close()
 			return nil, nil, fmt.Errorf("%w: %w", errUnsendable, err)
 		}
-		if c.since.IsZero() || c.silent() {
+		if c.since.IsZero() {
 			return c, text.Bytes(), nil
 		}
+		switch c.look() {
+		case netpeek.Silent:
+			return c, text.Bytes(), nil
+		case netpeek.Spoke:
+			x.pool.spoke()
+		}
 		c.Close()
 	}
 }
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -29,9 +29,12 @@
 	defaultDial  = 250 * time.Millisecond
 	defaultGrace = 250 * time.Millisecond
 	defaultConns = 500
-	// settleTime is how long a connection is left alone after an answer. Guards against a second answer that comes some
-	// milliseconds later: nothing in it tells that it is not the next request's.
+	// settleTime is how long a connection is left alone after an answer, for doubtTime after an upstream has sent something
+	// unasked. Guards against a second answer that comes some milliseconds after the first: nothing in it tells that it is not
+	// the next request's. Not always, since the further connections that it takes cost more than they spare where all
+	// upstreams keep to the protocol.
 	settleTime = 30 * time.Millisecond
+	doubtTime  = 10 * time.Second
 )
 
 // conn is a connection to an upstream, with at most one request on it.
@@ -66,17 +69,20 @@
 	return c.Conn.Close()
 }
 
-// silent says that an idle connection is still open and the upstream has said nothing on it. Guards against
-// connections that the upstream closed, or that its death reset: a request written there would count as reset.
-func (c *conn) silent() bool {
-	return c.r.Buffered() == 0 && netpeek.At(c.Conn) == netpeek.Silent
+// look says how an idle connection is: it can be used where the upstream has said nothing on it, and not closed it. Guards
+// against connections that the upstream closed, or that its death reset: a request written there would count as reset.
+func (c *conn) look() netpeek.State {
+	if c.r.Buffered() > 0 {
+		return netpeek.Spoke
+	}
+	return netpeek.At(c.Conn)
 }
 
 // Pool is the transport: it holds the idle connections to all upstreams.
 type Pool struct {
 	dial   net.Dialer
 	idle   time.Duration // how long a connection is kept
-	settle time.Duration // how long it is left alone after an answer
+	settle time.Duration // how long it is left alone after an answer, in times of doubt
 	grace  time.Duration // how long after news of its drain an upstream may still be sent to
 	max    int           // open connections
 	full   func()        // tells that as many are open
@@ -86,6 +92,7 @@
 	open    int
 	waiting []chan struct{} // for a place among the open ones, longest first
 	ups     map[string]*upstream
+	doubt   time.Time // until when upstreams may send what nobody asked for
 }
 
 // upstream is where an upstream listens, and the idle connections to it. The pool's lock guards it.
@@ -271,6 +278,13 @@
 	return u.process == to && u.left.IsZero()
 }
 
+// spoke notes that something came on an idle connection, unasked.
+func (p *Pool) spoke() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doubt = time.Now().Add(doubtTime)
+}
+
 // errFull says that this sidecar holds as many connections as it may.
 var errFull = errors.New("too many connections open")
 
@@ -281,7 +295,7 @@
 	now := time.Now()
 	p.dropOld(u, now)
 	for i, c := range slices.Backward(u.idle) {
-		if now.Sub(c.since) >= p.settle {
+		if now.After(p.doubt) || now.Sub(c.since) >= p.settle {
 			u.idle = slices.Delete(u.idle, i, i+1)
 			p.mu.Unlock()
 			return c, nil
