--- /dev/null
+++ b/internal/daemon/leave_test.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"hazelwing/internal/operator"
+	"hazelwing/internal/standin"
+	"hazelwing/internal/standin/fixture"
+)
+
+// Clients that leave while their request waits: docs/design/crossings.md. What arrives afterwards is counted at the upstream's
+// socket; a request of a client that stays comes behind, so that none can still be on its way.
+
+// leavings are the ways in which a client leaves.
+var leavings = map[string]func(c *net.TCPConn){
+	"FIN":   func(c *net.TCPConn) { c.Close() },
+	"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	"FIN behind more": func(c *net.TCPConn) {
+		io.WriteString(c, "GET /look/more HTTP/1.1\r\n")
+		c.Close()
+	},
+}
+
+// arrivals are the ids of the requests that came to an upstream's socket.
+type arrivals struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (a *arrivals) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ids = append(a.ids, id)
+}
+
+func (a *arrivals) String() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return strings.Join(a.ids, " ")
+}
+
+// sends opens a connection of its own and writes request id.
+func (r *running) sends(t *testing.T, method, class, id string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	body := ""
+	if method == "POST" {
+		body = "x"
+	}
+	if err := r.request(t, method, class, id, body).Write(c); err != nil {
+		t.Fatal(err)
+	}
+	return c.(*net.TCPConn)
+}
+
+// stays is a client that waits for its answer.
+func (r *running) stays(t *testing.T) {
+	t.Helper()
+	if resp, _ := r.do(t, r.request(t, "GET", "look", "stays", "")); resp.StatusCode != http.StatusOK {
+		t.Errorf("the client that stays got %s", resp.Status)
+	}
+}
+
+var asked = []struct{ method, class string }{{"GET", "look"}, {"POST", "book"}, {"POST", "pay"}}
+
+func eachLeaving(t *testing.T, test func(t *testing.T, method, class string, leave func(*net.TCPConn))) {
+	for name, leave := range leavings {
+		for _, a := range asked {
+			t.Run(name+" "+a.class, func(t *testing.T) {
+				t.Parallel() // some wait for the kernel's clock
+				test(t, a.method, a.class, leave)
+			})
+		}
+	}
+}
+
+// leftAt waits until the kernel at the sidecar's side knows that the client at this address has left: that is when its leaving
+// can be known.
+func leftAt(t *testing.T, client net.Addr) {
+	t.Helper()
+	port := fmt.Sprintf(":%04X", client.(*net.TCPAddr).Port)
+	fixture.Until(t, "the leaving", func() bool {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(table)) {
+			if f := strings.Fields(line); len(f) > 3 && strings.HasSuffix(f[2], port) && f[3] == "01" { // established
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// It waits for somebody to send it to, and he comes after it has left.
+func TestLeavesBeforeThereIsAMember(t *testing.T) {
+	eachLeaving(t, func(t *testing.T, method, class string, leave func(*net.TCPConn)) {
+		var came arrivals
+		addr := fixture.Raw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for q := fixture.ReadRequest(r); q != nil; q = fixture.ReadRequest(r) {
+				came.add(q.Header.Get("X-Request-Id"))
+				io.WriteString(c, fixture.OKAnswer)
+			}
+		})
+		d, err := standin.NewDiscovery()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(d.Close)
+		r := startSidecar(t, d.Addr(), fixture.NoAddr, entry("s", fixture.NoAddr), "")
+		c := r.sends(t, method, class, "leaves")
+		leave(c)
+		leftAt(t, c.LocalAddr())
+		d.Set(standin.Host{Host: "s", Dial: addr, Site: "a", Class: "m", Health: "SERVING"})
+		r.stays(t)
+		if got := came.String(); got != "stays" {
+			t.Errorf("there came: %s", got)
+		}
+	})
+}
+
+// Its connection to the upstream comes up after it has left: the upstream's backlog is full until then.
+func TestLeavesWhileItsDialComesUpLate(t *testing.T) {
+	eachLeaving(t, func(t *testing.T, method, class string, leave func(*net.TCPConn)) {
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := os.NewFile(uintptr(fd), "listener")
+		defer f.Close()
+		if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.FileListener(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		first, err := net.Dial("tcp", l.Addr().String()) // takes the one place of the backlog
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer first.Close()
+		r := startSidecar(t, fixture.NoAddr, l.Addr().String(), `"ConnectTimeoutMs":1000`, `"ConnectTimeoutMs":20000`)
+		c := r.sends(t, method, class, "leaves")
+		dialling(t, l.Addr())
+		leave(c)
+		leftAt(t, c.LocalAddr())
+		var came arrivals
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					from := bufio.NewReader(c)
+					for q := fixture.ReadRequest(from); q != nil; q = fixture.ReadRequest(from) {
+						came.add(q.Header.Get("X-Request-Id"))
+						io.WriteString(c, fixture.OKAnswer)
+					}
+				}()
+			}
+		}()
+		r.stays(t)
+		if got := came.String(); got != "stays" {
+			t.Errorf("there came: %s", got)
+		}
+	})
+}
+
+// dialling waits until the kernel tries to bring up a connection to addr.
+func dialling(t *testing.T, addr net.Addr) {
+	t.Helper()
+	port := fmt.Sprintf(":%04X", addr.(*net.TCPAddr).Port)
+	fixture.Until(t, "the dial", func() bool {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(table)) {
+			if f := strings.Fields(line); len(f) > 3 && strings.HasSuffix(f[2], port) && f[3] == "02" { // SYN sent
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Its first attempt is turned away unseen after it has left: there is no other.
+func TestLeavesBeforeItsRetry(t *testing.T) {
+	eachLeaving(t, func(t *testing.T, method, class string, leave func(*net.TCPConn)) {
+		var came arrivals
+		here, turn := make(chan bool), make(chan bool)
+		serve := func(_ int, c net.Conn, r *bufio.Reader) {
+			for q := fixture.ReadRequest(r); q != nil; q = fixture.ReadRequest(r) {
+				id := q.Header.Get("X-Request-Id")
+				if came.add(id); id == "leaves" {
+					here <- true
+					<-turn
+					io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				} else {
+					io.WriteString(c, fixture.OKAnswer)
+				}
+			}
+		}
+		one, other := fixture.Raw(t, serve), fixture.Raw(t, serve)
+		r := startSidecar(t, fixture.NoAddr, fixture.NoAddr, known([]string{entry("s0", one), entry("s1", other)})...)
+		c := r.sends(t, method, class, "leaves")
+		fixture.Receive(t, here, "the first attempt")
+		leave(c)
+		leftAt(t, c.LocalAddr())
+		turn <- true
+		r.stays(t)
+		if got := came.String(); got != "leaves stays" {
+			t.Errorf("there came: %s", got)
+		}
+	})
+}
+
+// It has left before its request is read: the process is behind, and everything waits in the kernel.
+func TestLeavesBeforeItIsRead(t *testing.T) {
+	for name, leave := range leavings {
+		t.Run(name, func(t *testing.T) {
+			var came arrivals
+			addr := fixture.Raw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for q := fixture.ReadRequest(r); q != nil; q = fixture.ReadRequest(r) {
+					came.add(q.Header.Get("X-Request-Id"))
+					io.WriteString(c, fixture.OKAnswer)
+				}
+			})
+			cfg := config(t, fixture.NoAddr, addr)
+			s, err := build(cfg, new(operator.Config), quietLog)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l, err := net.Listen("tcp", cfg.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &running{sidecar: s, url: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{}, Timeout: fixture.Patience}}
+			for _, a := range asked {
+				c := r.sends(t, a.method, a.class, "leaves") // into the backlog: nothing of the sidecar runs yet
+				leave(c)
+				leftAt(t, c.LocalAddr())
+			}
+			ctx, end := context.WithCancel(t.Context())
+			var parts sync.WaitGroup
+			parts.Go(func() { s.engine.Run(ctx) })
+			parts.Go(func() { s.front.Serve(ctx, l, 10, quietLog) })
+			r.stays(t)
+			if got := came.String(); got != "stays" {
+				t.Errorf("there came: %s", got)
+			}
+			r.client.CloseIdleConnections()
+			end()
+			parts.Wait()
+		})
+	}
+}
