--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -252,7 +252,8 @@
 		if len(values) > 1 {
 			return plain(http.StatusBadRequest, name+" is there more than once"), true
 		}
-		if len(values) == 1 && (len(values[0]) > maxID || strings.ContainsFunc(values[0], notPlain)) {
+		// A class is one of the settings', whatever its name is made of.
+		if len(values) == 1 && (len(values[0]) > maxID || name != httpmsg.ClassHeader && strings.ContainsFunc(values[0], notPlain)) {
 			return plain(http.StatusBadRequest, name+" is too long or not plain text"), true
 		}
 	}
