An older view after a move brings no drain back, and no early SIGHUP ends a start

Rows of docs/design/crossings.md: - After SIGHUP the new source's list may be of a lower version and show a process active that the old one told to drain. It went back into use at once (list.go take). For 6 s after the move such an entry stays out, and then the list is asked for anew. Test: older, newer, another process. - A SIGHUP between exec and signal.Notify ended the program. Stand-in nodes, and tests that look for a free port, use a loopback address of their process's own.

--- a/cmd/hazelwing/build_test.go
+++ b/cmd/hazelwing/build_test.go
@@ -77,7 +77,7 @@
 		t.Skip("the platform's programs are Linux's")
 	}
 	key := func(name string) string { return deployKey(t, name) }
-	if run := key("run"); run != "export GOMAXPROCS=1; exec bin/hazelwing" {
+	if run := key("run"); run != "export GOMAXPROCS=1; trap '' HUP; exec bin/hazelwing" {
 		t.Errorf("run %q: it has to end in one process, by exec", run)
 	}
 	dir := t.TempDir()
--- a/cmd/hazelwing/leave_test.go
+++ b/cmd/hazelwing/leave_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 )
 
@@ -50,7 +51,7 @@
 			io.WriteString(c, fixture.OKAnswer)
 		}
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnHost(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hazelwing/term_test.go
+++ b/cmd/hazelwing/term_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 )
 
@@ -47,7 +48,7 @@
 					}
 				}
 			})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnHost(), "0"))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -172,3 +172,44 @@
 		t.Errorf("%+v, want a failure", r)
 	}
 }
+
+// After a move a list of a lower version may be an older view: a drain that was told stays told of the same process, another
+// process is taken, and once the new source has had time to learn of it the list is asked for anew.
+func TestOlderViewOfADrainAfterAMove(t *testing.T) {
+	for name, c := range map[string]struct {
+		seq    int64 // of the new source's list
+		born   float64
+		drains bool
+	}{"older": {5, 0, true}, "newer": {9, 0, false}, "another process": {5, 1, false}} {
+		t.Run(name, func(t *testing.T) {
+			f, next := newFake(), newFake()
+			e := idle(t, f, testSettings(), 2)
+			leaving := fleet(1)
+			leaving[0].State = balancer.Leaving
+			fixture.Receive(t, f.watches, "the first watch").tell(News{Kind: balancer.Change, Seq: 8, Members: leaving})
+			e.step(nil)
+			e.event(moved{next})
+			list := fleet(2)
+			list[0].BornMS = c.born
+			fixture.Receive(t, next.watches, "the new watch").tell(News{Kind: balancer.Full, Seq: c.seq, Members: list})
+			e.step(nil)
+			if got := f.members["m0"].State != balancer.Active; got != c.drains {
+				t.Fatalf("it drains: %v, want %v", got, c.drains)
+			}
+			if !c.drains {
+				return
+			}
+			e.event(again{e.watch}) // its time has come
+			e.moved = e.moved.Add(-olderView)
+			w := fixture.Receive(t, next.watches, "the list asked for anew")
+			if w.seq != OtherVersion {
+				t.Errorf("it goes on from %d", w.seq)
+			}
+			w.tell(News{Kind: balancer.Full, Seq: 6, Members: fleet(2)})
+			e.step(nil)
+			if f.members["m0"].State != balancer.Active {
+				t.Error("it is not taken back once the new source has had its time")
+			}
+		})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,11 @@
 	queueLength  = 1024
 	probeTimeout = 400 * time.Millisecond
 	// agentWait is the pause before the source of a list that comes unasked is asked again.
-	agentWait = 500 * time.Millisecond
+	// What the agent learns when discovery comes back counts as told at once: the pause stays below the least grace of a drain.
+	agentWait = 100 * time.Millisecond
+	// olderView is how long after a move a list of a lower version than that of a drain is not believed about it. What discovery
+	// has to tell counts as told 6 s later at the latest: by then the new source has to know.
+	olderView = 6 * time.Second
 	// agentFirst is how long calls wait for an agent's first word. What it has counts as told from the start of this process,
 	// and it answers at once; where it is silent the list as last held has to do.
 	agentFirst = 250 * time.Millisecond
@@ -51,6 +54,7 @@
 		Outcome
 	}
 	moved  struct{ source Source } // the list comes from this one from now on
+	again  struct{ watch *watch }  // a view that was older when this watch brought it has had time to come up to date
 	probed struct {
 		member string
 		sent   time.Time
@@ -64,6 +68,13 @@
 	News
 }
 
+// drain is that a process was told to leave.
+type drain struct {
+	bornMS float64
+	seq    int64 // of the list that told it
+	at     time.Time
+}
+
 // watch is one call of a source's Watch.
 type watch struct{ stop context.CancelFunc }
 
@@ -90,6 +101,8 @@
 	before *watch // the one that was open when the list was moved, until its successor has answered
 	seq    int64
 	held   map[string]float64 // the members that are active, and when each came up (BornMS)
+	drains map[string]drain   // told within olderView before the last move, or since then
+	moved  time.Time          // when that was
 	lost   bool               // the pushed list's source did not answer
 	timer  *time.Timer
 	wake   time.Time // when the timer fires; zero: it is not set
@@ -112,7 +125,7 @@
 	e := &Engine{bal: bal, clock: newClock(), transport: cfg.Transport, source: cfg.Source,
 		log: cfg.Log, pushed: !cfg.Settings.MustSubscribe, maxCalls: cfg.MaxCalls, cancelGone: cfg.CancelGone,
 		events: make(chan any, queueLength), lists: make(chan told, queueLength), closed: make(chan struct{}),
-		calls: map[string]*Call{}, held: map[string]float64{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
+		calls: map[string]*Call{}, held: map[string]float64{}, drains: map[string]drain{}, timer: time.NewTimer(time.Hour), beat: time.NewTicker(beatEvery)}
 	e.timer.Stop()
 	e.beat.Stop()
 	e.known = cfg.Known
@@ -268,6 +281,11 @@
 		e.ended(v)
 	case moved:
 		e.move(v.source)
+	case again:
+		if v.watch == e.watch && !e.ending {
+			e.seq = OtherVersion
+			e.follow(0)
+		}
 	case probed:
 		e.out--
 		e.stalls.correct(&v.Outcome, v.sent, time.Now())
@@ -500,137 +518,3 @@
 		}
 	}
 }
-
-// ---- the list ----
-
-func (e *Engine) subscribe() { e.follow(0) }
-
-// follow replaces the watch by a new one.
-func (e *Engine) follow(pause time.Duration) {
-	e.watch.end()
-	w := new(watch)
-	e.watch = w
-	w.stop = e.source.Watch(e.seq, pause, func(n News) {
-		select {
-		case e.lists <- told{w, n}:
-		case <-e.closed:
-		}
-	})
-}
-
-// end stops a watch, if there is one.
-func (w *watch) end() {
-	if w != nil {
-		w.stop()
-	}
-}
-
-// move starts a watch at another source at once: versions there may be others, and how long the module would wait after
-// failures belongs to the old one. The list that is held goes on to be served from, and the old watch goes on until the
-// new one has answered. Guards against a new source that is out of reach, or turns many away because all instances were
-// moved at once: until it answers, the old one is all that tells of drains. There are two watches at most.
-func (e *Engine) move(s Source) {
-	if e.ending {
-		return
-	}
-	if e.before == nil {
-		e.before, e.watch = e.watch, nil
-	}
-	e.source, e.lost = s, false
-	if e.seq != NoVersion {
-		e.seq = OtherVersion
-	}
-	e.subscribe()
-}
-
-// formerly takes what the old source tells after the list was moved: that something leaves, and nothing else. What its whole
-// list no longer has is gone.
-func (e *Engine) formerly(n News) {
-	if n.Kind == balancer.Failed {
-		e.before = nil
-		return
-	}
-	leave := slices.DeleteFunc(slices.Clone(n.Members), func(m Member) bool { return m.State == balancer.Active })
-	if n.Kind == balancer.Full {
-		listed := map[string]bool{}
-		for _, m := range n.Members {
-			listed[m.ID] = true
-		}
-		for id := range e.held {
-			if !listed[id] {
-				leave = append(leave, Member{ID: id, State: balancer.Left})
-			}
-		}
-	}
-	if len(leave) > 0 {
-		e.take(News{Kind: balancer.Aside, Members: leave})
-	}
-}
-
-// late takes what a watch has told that another replaced meanwhile: a drain that was told stays told, of the process that it
-// was told of.
-func (e *Engine) late(n News) {
-	leave := slices.DeleteFunc(slices.Clone(n.Members), func(m Member) bool {
-		born, held := e.held[m.ID]
-		return m.State == balancer.Active || !held || born != m.BornMS
-	})
-	if len(leave) > 0 {
-		e.take(News{Kind: balancer.Aside, Members: leave})
-	}
-}
-
-func (e *Engine) news(n told) {
-	switch {
-	case n.Kind == balancer.Aside:
-		// It came beside what the source follows, also while that is lost and not asked for yet. Guards against a source
-		// that has told it, and will not again.
-		e.take(n.News)
-		return
-	case n.watch != nil && n.watch == e.before:
-		e.formerly(n.News)
-		return
-	case n.watch != e.watch:
-		e.late(n.News)
-		return
-	}
-	e.seq = n.Seq
-	if n.Kind == balancer.Failed {
-		e.watch = nil
-		if e.pushed { // the module did not ask: the source is ours to ask again
-			if !e.lost {
-				e.log.Warn("list lost", "err", n.Err)
-			}
-			e.lost = true
-			e.follow(agentWait)
-			return
-		}
-		e.log.Warn("list lost", "err", n.Err)
-		e.handle(balancer.Members{Kind: balancer.Failed})
-		return
-	}
-	e.lost = false
-	if n.watch != nil {
-		e.before.end()
-		e.before = nil
-	}
-	e.take(n.News)
-}
-
-// take hands what changed to the transport and the module.
-func (e *Engine) take(n News) {
-	e.transport.Update(n.Kind == balancer.Full || n.Kind == balancer.Saved, n.Members, time.Now())
-	if n.Kind == balancer.Full || n.Kind == balancer.Saved {
-		clear(e.held)
-	}
-	members := make([]balancer.Member, len(n.Members))
-	for i, m := range n.Members {
-		if m.State == balancer.Active {
-			e.held[m.ID] = m.BornMS
-		} else {
-			delete(e.held, m.ID)
-		}
-		members[i] = balancer.Member{Upstream: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
-			CameUp: e.clock.wall(m.BornMS)}
-	}
-	e.handle(balancer.Members{Kind: n.Kind, Entries: members})
-}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -95,7 +95,7 @@
 
 // start starts a process on an address of its own.
 func (f *Fleet) start(c NodeConfig, born time.Time) (*running, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(OwnHost(), "0"))
 	if err != nil {
 		return nil, err
 	}
