--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -97,7 +98,10 @@
 	set := testSettings()
 	set.MustSubscribe = false
 	e := made(t, f, set, 2)
-	e.events <- newCall("1", "look") // it is there before anything else happens
+	const calls = 12
+	for i := range calls { // they are there before anything else happens
+		e.events <- newCall(fmt.Sprint(i), "look")
+	}
 	ctx, stop := context.WithCancel(t.Context())
 	defer func() {
 		stop()
@@ -108,11 +112,13 @@
 	leaving := fleet(1)
 	leaving[0].State = balancer.Leaving
 	w.tell(News{Kind: balancer.Change, Seq: 8, Members: leaving})
-	x := fixture.Receive(t, f.sent, "the attempt")
-	if x.member != "m1" {
-		t.Errorf("sent to %s, which drains", x.member)
+	for range calls {
+		x := fixture.Receive(t, f.sent, "the attempt")
+		if x.member != "m1" {
+			t.Errorf("sent to %s, which drains", x.member)
+		}
+		x.end <- Outcome{Result: balancer.OK, Final: true}
 	}
-	x.end <- Outcome{Result: balancer.OK, Final: true}
 }
 
 // An agent that is silent holds calls up for a moment only.
--- a/internal/transport/grpc/exchange.go
+++ b/internal/transport/grpc/exchange.go
@@ -51,7 +51,12 @@
 
 // Attempt prepares an attempt of a call whose Payload is a *Request.
 func (t *Transport) Attempt(id string, c *engine.Call, timeout time.Duration) engine.Exchange {
-	return t.exchange(id, c.Payload.(*Request), timeout)
+	x := t.exchange(id, c.Payload.(*Request), timeout)
+	if x, ok := x.(*exchange); ok {
+		permit, allow := c.Permit(), x.gate.allow
+		x.gate.allow = func() bool { return permit() && allow() }
+	}
+	return x
 }
 
 // Probe prepares a probe: Check of grpc.health.v1, whose trailer may hold an ORCA report.
--- a/internal/transport/grpc/transport_test.go
+++ b/internal/transport/grpc/transport_test.go
@@ -84,9 +84,11 @@
 // A dial that comes up late is not written to: neither after the call's result, nor after the member's grace, nor to
 // another process.
 func TestLateConnectionIsNotWritten(t *testing.T) {
+	var left atomic.Bool
 	for name, c := range map[string]func(tr *Transport, x engine.Exchange, addr string){
-		"answered":  func(_ *Transport, x engine.Exchange, _ string) { x.Forbid() },
-		"cancelled": func(_ *Transport, x engine.Exchange, _ string) { x.Cancel() },
+		"its client left": func(*Transport, engine.Exchange, string) { left.Store(true) },
+		"answered":        func(_ *Transport, x engine.Exchange, _ string) { x.Forbid() },
+		"cancelled":       func(_ *Transport, x engine.Exchange, _ string) { x.Cancel() },
 		"drained": func(tr *Transport, _ engine.Exchange, addr string) {
 			tr.Update(false, listed(addr, balancer.Leaving), time.Now().Add(-time.Second))
 		},
@@ -100,7 +102,10 @@
 			addr := rawh2.Start(t, func(*rawh2.Stream) { came.Add(1) })
 			tr := newTransport(t, 100*time.Millisecond)
 			tr.Update(true, listed(addr, balancer.Active), time.Now())
-			x := tr.Attempt("s", call(t.Context()), fixture.Patience)
+			left.Store(false)
+			asked := call(t.Context())
+			asked.Left = left.Load
+			x := tr.Attempt("s", asked, fixture.Patience)
 			c(tr, x, addr)
 			if o := fixture.Receive(t, run(x), "the outcome"); o.Result != balancer.Moot {
 				t.Errorf("result %d (%v)", o.Result, o.Err)
