--- a/cmd/hazelwing/hup_test.go
+++ b/cmd/hazelwing/hup_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,7 +10,6 @@
 	"syscall"
 	"testing"
 
-	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 )
 
@@ -26,38 +24,14 @@
 	if m == nil {
 		t.Fatal("the deploy file's run does not end in the program")
 	}
-	l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnHost(), "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	dir := t.TempDir()
-	config, log := filepath.Join(dir, "config.json"), filepath.Join(dir, "log")
-	if err := os.WriteFile(config, fmt.Appendf(nil, fixture.Config, fixture.NoAddr, fixture.NoAddr), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	log := filepath.Join(t.TempDir(), "log")
 	out, err := os.Create(log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer out.Close()
 	cmd := exec.Command("/bin/sh", "-c", string(m[1])+`kill -HUP $$; exec "$0"`, os.Args[0])
-	cmd.Env, cmd.Stderr = append(os.Environ(), testRun+"=1", "RELAY_CONFIG="+config, "RELAY_LISTEN="+addr), out
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		cmd.Process.Kill()
-		cmd.Wait()
-	})
-	fixture.Until(t, "the daemon", func() bool {
-		c, err := net.Dial("tcp", addr)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	})
+	startAlone(t, cmd, fmt.Sprintf(fixture.Config, fixture.NoAddr, fixture.NoAddr), out)
 	cmd.Process.Signal(syscall.SIGHUP)
 	fixture.Until(t, "the new configuration", func() bool {
 		text, err := os.ReadFile(log)
--- a/cmd/hazelwing/leave_test.go
+++ b/cmd/hazelwing/leave_test.go
@@ -9,14 +9,12 @@
 	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 )
 
@@ -51,30 +49,8 @@
 			io.WriteString(c, fixture.OKAnswer)
 		}
 	})
-	l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnHost(), "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	config := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(config, fmt.Appendf(nil, fixture.Config, fixture.NoAddr, upstream), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), testRun+"=1", "GOMAXPROCS=1", "RELAY_CONFIG="+config, "RELAY_LISTEN="+addr)
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Wait()
-	defer cmd.Process.Kill()
-	fixture.Until(t, "the daemon", func() bool {
-		c, err := net.Dial("tcp", addr)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	})
+	cmd := exec.Command("/usr/bin/env", "GOMAXPROCS=1", os.Args[0])
+	addr := startAlone(t, cmd, fmt.Sprintf(fixture.Config, fixture.NoAddr, upstream), nil)
 	end := make(chan bool)
 	var pulse sync.WaitGroup
 	pulse.Go(func() {
--- a/cmd/hazelwing/term_test.go
+++ b/cmd/hazelwing/term_test.go
@@ -8,14 +8,12 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"hazelwing/internal/standin"
 	"hazelwing/internal/standin/fixture"
 )
 
@@ -48,33 +46,9 @@
 					}
 				}
 			})
-			l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnHost(), "0"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			addr := l.Addr().String()
-			l.Close()
 			text := strings.ReplaceAll(fmt.Sprintf(fixture.Config, fixture.NoAddr, upstream), `"DeadlineMs":20000`, fmt.Sprintf(`"DeadlineMs":%d`, longest.Milliseconds()))
-			config := filepath.Join(t.TempDir(), "config.json")
-			if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
 			cmd := exec.Command(os.Args[0])
-			cmd.Env = append(os.Environ(), testRun+"=1", "RELAY_CONFIG="+config, "RELAY_LISTEN="+addr)
-			if err := cmd.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() {
-				cmd.Process.Kill()
-				cmd.Wait()
-			})
-			fixture.Until(t, "the daemon", func() bool {
-				c, err := net.Dial("tcp", addr)
-				if err == nil {
-					c.Close()
-				}
-				return err == nil
-			})
+			addr := startAlone(t, cmd, text, nil)
 			ask := func(c net.Conn, id string, at time.Duration) (*http.Response, error) {
 				c.SetDeadline(time.Now().Add(fixture.Patience))
 				req := fixture.Request(t, "http://"+addr, "GET", "look", id, "")
@@ -90,6 +64,7 @@
 			}
 			kept := make([]net.Conn, clients)
 			for i := range kept {
+				var err error
 				if kept[i], err = net.Dial("tcp", addr); err != nil {
 					t.Fatal(err)
 				}
