Comments: what the pool still uses a drain's grace for

Need: read once more, two comments said that an upstream may be written to within the grace; since the crossings were mended it is only remembered for it. No behaviour changed.

--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -119,7 +119,7 @@
 // Transport reaches the members. The engine calls it from Run's goroutine only; none of its methods may block.
 type Transport interface {
 	// Update follows the list: entries replaces what is known where whole, and changes it otherwise. told is when the
-	// news came: what drains, or is gone, is written nothing new from the settings' grace after it on.
+	// news came: what drains, or is gone, is written nothing new from the settings' grace after it on at the latest.
 	Update(whole bool, entries []Member, told time.Time)
 	// Attempt prepares an attempt; nil says that the member is not known.
 	Attempt(member string, c *Call, timeout time.Duration) Exchange
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -83,7 +83,7 @@
 	dial   net.Dialer
 	idle   time.Duration // how long a connection is kept
 	settle time.Duration // how long it is left alone after an answer, in times of doubt
-	grace  time.Duration // how long after news of its drain an upstream may still be sent to
+	grace  time.Duration // how long after news of its leaving an upstream is remembered
 	max    int           // open connections
 	full   func()        // tells that as many are open
 	body   int64         // bytes of an answer's body
@@ -107,7 +107,7 @@
 type Config struct {
 	Connect time.Duration // for a connection to come up; 250 ms
 	Idle    time.Duration // after which upstreams close idle connections; 10 s. They are kept for 3/4 of it
-	Grace   time.Duration // in which a drain that was told may still be written to; 250 ms
+	Grace   time.Duration // after which an upstream that was told to leave is forgotten; nothing is written to it meanwhile; 250 ms
 	Conns   int           // connections open at a time; 500
 	Answer  int64         // bytes that the body of an answer may have; 512 KiB, and never less
 	Full    func()        // is called, from any goroutine, when an exchange has to wait for a connection's place; may be nil
