--- a/balancer/api.go
+++ b/balancer/api.go
@@ -127,6 +127,11 @@
 // UpdateKind is the kind of an EndpointUpdate.
 type UpdateKind int
 
+var updateKindTexts = [...]string{"complete list", "delta", "cached list", "watch failed", "out of band"}
+
+// String returns the kind's text for logs.
+func (k UpdateKind) String() string { return updateKindTexts[k] }
+
 // Kinds of endpoint updates.
 const (
 	CompleteList UpdateKind = iota // all endpoints
@@ -190,6 +195,13 @@
 	NotSent              // did not run
 )
 
+var resultTexts = [...]string{
+	"ok", "server error", "overloaded", "timeout", "connect failed", "reset", "cancelled", "not sent",
+}
+
+// String returns the result's text for logs.
+func (r Result) String() string { return resultTexts[r] }
+
 // MayHaveRun reports whether an attempt with this result may have had its effect or may still have it.
 func (r Result) MayHaveRun() bool { return r != Overloaded && r != ConnectFailed && r != NotSent }
 
@@ -264,6 +276,35 @@
 	Log
 )
 
+// Reason tells why the Balancer ended a request with an answer of its own. It is for logs only.
+type Reason int
+
+// Reasons of Reject and Fail actions.
+const (
+	NoReason         Reason = iota
+	UnknownClass            // the settings do not have the request's class
+	DeadlinePassed          // the request's deadline has passed
+	LoadShed                // admission control shed the request
+	PairOverloaded          // the endpoints that were probed for the request are overloaded
+	NoTimeForRetry          // the usual latency exceeds the time that is left for another attempt
+	NoFurtherAttempt        // the maximum number of attempts is reached, or the class does not allow a retry
+	RetryBudgetSpent        // too many retries and hedges were sent recently
+	reasonCount             // number of reasons
+)
+
+var reasonTexts = [reasonCount]string{
+	"", "unknown class", "deadline passed", "load shed", "probed endpoints overloaded", "no time for a retry",
+	"no further attempt allowed", "retry budget spent",
+}
+
+// String returns the reason's text for logs.
+func (r Reason) String() string {
+	if r < 0 || r >= reasonCount {
+		return ""
+	}
+	return reasonTexts[r]
+}
+
 // Action is an instruction to the sidecar. The comment of its kind names the fields that are set. ID is also set if the
 // action concerns a request.
 type Action struct {
@@ -279,6 +320,7 @@
 	// retry is decided inside the idempotency window, but waits for a connection until the window is over. The
 	// transport compares NotAfter with the clock immediately before it writes the first byte.
 	NotAfter   time.Duration
+	Reason     Reason // Reject and Fail; for logs only
 	Text       string
 	Attributes []Attribute
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -116,7 +116,7 @@
 			b.subscribeIfNeeded()
 		case t.request.done || t.request.streaming:
 		case t.kind == timerDeadline:
-			b.giveUp(t.request)
+			b.giveUp(t.request, DeadlinePassed)
 		case t.kind == timerOverdue:
 			b.handleOverdueAttempt(t.request)
 		case t.request.outstanding == 0:
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -106,7 +106,7 @@
 	}
 	class := b.classes[e.Class]
 	if class == nil { // safe, because this request has not run; PriorAttempts are not checked
-		b.emit(Action{Kind: Reject, ID: e.ID})
+		b.emit(Action{Kind: Reject, ID: e.ID, Reason: UnknownClass})
 		return
 	}
 	r := b.newRequest(e, class)
@@ -114,11 +114,11 @@
 	b.admission.meter.inFlight.add(r, b.now)
 	b.schedule(r.deadline, timerDeadline, r)
 	if b.now >= r.deadline {
-		b.giveUp(r)
+		b.giveUp(r, DeadlinePassed)
 		return
 	}
 	if r.admission = b.admit(r); r.admission == shed {
-		b.giveUp(r)
+		b.giveUp(r, LoadShed)
 		return
 	}
 	b.refreshSubset()
@@ -148,7 +148,7 @@
 // handleOutcome calls advance after an attempt has ended.
 func (b *Balancer) advance(r *request) {
 	if len(r.attempts) > 0 && b.now+b.usualLatency(r) > r.deadline {
-		b.giveUp(r)
+		b.giveUp(r, NoTimeForRetry)
 		return
 	}
 	if !r.pair.isDrawn() && b.startProbes(r) || b.awaitsProbes(r) {
@@ -156,7 +156,7 @@
 	}
 	switch b.admitToPair(r) {
 	case pairRejects:
-		b.giveUp(r)
+		b.giveUp(r, PairOverloaded)
 		return
 	case pairReplaced:
 		return
@@ -166,7 +166,7 @@
 		return
 	}
 	if len(r.attempts) >= b.settings.MaxAttempts || b.retryForbidden(r) {
-		b.giveUp(r)
+		b.giveUp(r, NoFurtherAttempt)
 		return
 	}
 	b.logWarmUpDelay()
@@ -236,7 +236,7 @@
 		b.release(r)
 	case r.outstanding > 0 || r.streaming: // another attempt is outstanding, or an answer is being streamed
 	case e.Result != ConnectFailed && b.retries.isSpent():
-		b.giveUp(r)
+		b.giveUp(r, RetryBudgetSpent)
 	default:
 		b.advance(r)
 	}
@@ -257,13 +257,13 @@
 }
 
 // giveUp ends a request with a final answer that comes from the sidecar, not from an endpoint.
-func (b *Balancer) giveUp(r *request) {
+func (b *Balancer) giveUp(r *request, reason Reason) {
 	if r.done {
 		return
 	}
 	b.cancelOthers(r, noAttempt)
 	b.adaptLimits(r)
-	action := Action{Kind: Fail, ID: r.id}
+	action := Action{Kind: Fail, ID: r.id, Reason: reason}
 	if r.mayReject() {
 		action.Kind = Reject
 		if b.settings.RetryAfter {
--- a/cmd/hazelwing/main.go
+++ b/cmd/hazelwing/main.go
@@ -23,8 +23,10 @@
 		Short: "A client-side load balancer",
 		Long: `hazelwing is a client-side load balancer. ` +
 			`Without a command it runs the daemon, like "hazelwing run".`,
-		Args:          cobra.NoArgs,
-		RunE:          func(*cobra.Command, []string) error { return runDaemon(os.Getenv(operatorVariable)) },
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return runDaemon(runOptions{operatorFile: os.Getenv(operatorVariable)})
+		},
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/cmd/hazelwing/main_test.go
+++ b/cmd/hazelwing/main_test.go
@@ -13,7 +13,7 @@
 // If the platform's file is missing, the error is one line that names the file. An operator sees only this line.
 func TestBadConfigurationIsAnError(t *testing.T) {
 	t.Setenv("RELAY_CONFIG", t.TempDir()+"/absent.json")
-	err := runDaemon("")
+	err := runDaemon(runOptions{})
 	if err == nil || !strings.Contains(err.Error(), "absent.json") || strings.Contains(err.Error(), "\n") {
 		t.Errorf("error %v, want one line that names the file", err)
 	}
@@ -28,7 +28,7 @@
 	}
 	t.Setenv("RELAY_CONFIG", path)
 	done := make(chan error, 1)
-	go func() { done <- runDaemon("") }()
+	go func() { done <- runDaemon(runOptions{}) }()
 	file, err := os.OpenFile(path, os.O_WRONLY, 0) // returns when runDaemon has opened the pipe, too
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/hazelwing/run.go
+++ b/cmd/hazelwing/run.go
@@ -18,7 +18,7 @@
 const operatorVariable = "HAZELWING_OPERATOR"
 
 func newRunCommand() *cobra.Command {
-	var operatorFile string
+	var options runOptions
 	c := &cobra.Command{
 		Use:   "run",
 		Short: "Run the daemon, configured by the platform's RELAY_ variables",
@@ -29,15 +29,23 @@
 Features that the platform's configuration does not cover, such as the idempotency ledger, are set in the operator's
 file (--operator, or the variable HAZELWING_OPERATOR). Without this file they are off.`,
 		Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return runDaemon(operatorFile) },
+		RunE: func(*cobra.Command, []string) error { return runDaemon(options) },
 	}
-	c.Flags().StringVar(&operatorFile, "operator", os.Getenv(operatorVariable),
+	c.Flags().BoolVar(&options.trace, "trace", false,
+		"log each attempt, each result with its reason, and each closed connection")
+	c.Flags().StringVar(&options.operatorFile, "operator", os.Getenv(operatorVariable),
 		"path of the operator's file (or HAZELWING_OPERATOR)")
 	return c
 }
 
-// runDaemon runs the daemon until SIGTERM or SIGINT. The path of the operator's file is empty if there is no such file.
-func runDaemon(operatorFile string) error {
+// runOptions are the options of the command "run".
+type runOptions struct {
+	operatorFile string // path of the operator's file; empty if there is none
+	trace        bool   // log at debug level
+}
+
+// runDaemon runs the daemon until SIGTERM or SIGINT.
+func runDaemon(options runOptions) error {
 	// SIGHUP is caught before anything else is done, because its default action would end the program. The channel
 	// holds one signal: until the daemon receives this signal, further signals would request the same reload.
 	reload := make(chan os.Signal, 1)
@@ -47,8 +55,8 @@
 		return err
 	}
 	operatorConfig := new(operator.Config)
-	if operatorFile != "" {
-		if operatorConfig, err = operator.Load(operatorFile); err != nil {
+	if options.operatorFile != "" {
+		if operatorConfig, err = operator.Load(options.operatorFile); err != nil {
 			return err
 		}
 	}
@@ -56,6 +64,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reloadConfig := func() (*platform.Config, error) { return platform.Reload(os.Getenv) }
-	logger := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	level := slog.LevelInfo
+	if options.trace {
+		level = slog.LevelDebug
+	}
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	return daemon.Run(ctx, platformConfig, operatorConfig, reload, reloadConfig, logger)
 }
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -94,6 +94,7 @@
 		DrainGrace:          b.platformConfig.Settings.DrainGrace(),
 		MaxConns:            maxConns,
 		MaxResponseBytes:    b.resources.MaxResponseBytes(),
+		Log:                 b.log,
 		OnConnLimit:         b.limits.Add("connections to upstreams", maxConns),
 	})
 }
--- a/internal/discovery/watch/client.go
+++ b/internal/discovery/watch/client.go
@@ -157,6 +157,7 @@
 	if err != nil {
 		return streamEvent{err: fmt.Errorf("%w: %w", errMalformedEvent, err)}
 	}
+	update.ArrivedAt = objects.beganAt
 	return streamEvent{update: &update}
 }
 
--- a/internal/discovery/watch/objectreader.go
+++ b/internal/discovery/watch/objectreader.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // objectReader splits the body of a watch into JSON objects. An object may occupy one line or several, and may arrive
@@ -18,6 +19,8 @@
 
 	reader *bufio.Reader
 	object []byte // part of the present object that has arrived
+	// beganAt is when the first byte of the present object was read; it remains valid until the next object begins.
+	beganAt time.Time
 
 	depth         int  // nesting depth of braces and brackets in the present object
 	inString      bool // the next byte belongs to a string
@@ -99,6 +102,7 @@
 			o.lineHasObject = false
 		case '{':
 			o.lineHasObject = true
+			o.beganAt = time.Now()
 			return n, false, nil
 		default:
 			return n, false, fmt.Errorf("%w: found %q, want the '{' of an object", errMalformedEvent, c)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -65,6 +65,7 @@
 			"request", a.ID, "endpoint", a.Endpoint)
 		return
 	}
+	e.traceAttempt(c, a)
 	number := len(c.attempts)
 	att := &attempt{exchange: x, sentAt: time.Now(), streamAccepted: make(chan bool, 1)}
 	c.attempts = append(c.attempts, att)
@@ -90,7 +91,7 @@
 	accepted := !c.answered
 	if accepted {
 		c.streamAttempt = v.attempt
-		e.reply(c, Result{Kind: Streaming, Answer: v.answer})
+		e.reply(c, Result{Kind: Streaming, Answer: v.answer}, balancer.NoReason)
 		e.decide(balancer.FirstByte{ID: c.ID, Attempt: v.attempt})
 	}
 	c.attempts[v.attempt].streamAccepted <- accepted
@@ -106,8 +107,9 @@
 	e.exchangesInFlight--
 	timedOut := v.Result == balancer.Timeout
 	e.stalls.correctOutcome(&v.Outcome, c.attempts[v.attempt].sentAt, time.Now())
+	e.traceOutcome(c, v.attempt, &v.Outcome)
 	if v.Final {
-		e.reply(c, Result{Kind: Served, Answer: v.Answer})
+		e.reply(c, Result{Kind: Served, Answer: v.Answer}, balancer.NoReason)
 	} else {
 		c.recordFailure(&v.Outcome, timedOut)
 		e.endIfDisconnected(c)
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -19,6 +19,7 @@
 // handleCall passes a new call to the Balancer, unless immediateResult determines its result.
 func (e *Engine) handleCall(c *Call) {
 	if r, ok := e.immediateResult(c); ok {
+		e.traceResult(c, &r, balancer.NoReason)
 		c.answered = true // prevents a second result after the client's disconnect
 		c.result <- r
 		return
@@ -59,7 +60,9 @@
 		return
 	}
 	e.closeCall(c)
-	c.result <- c.disconnectedResult()
+	r := c.disconnectedResult()
+	e.traceResult(c, &r, balancer.NoReason)
+	c.result <- r
 	e.decide(balancer.ClientDisconnected{ID: c.ID})
 	if e.cancelOnDisconnect {
 		c.cancelAttempts()
@@ -73,7 +76,7 @@
 	if c == nil {
 		return
 	}
-	e.reply(c, Result{Kind: Rejected, RetryAfter: a.RetryAfter, Err: c.lastErr})
+	e.reply(c, Result{Kind: Rejected, RetryAfter: a.RetryAfter, Err: c.lastErr}, a.Reason)
 	e.release(c)
 }
 
@@ -89,21 +92,23 @@
 		TimedOut: c.timedOut || c.outstanding > 0,
 		Answer:   c.lastAnswer,
 		Err:      c.lastErr,
-	})
+	}, a.Reason)
 	e.release(c)
 }
 
 // reply delivers a call's result, unless the call has one already or its client has disconnected. Every result of a
-// call that the Balancer has seen is delivered here, except Disconnected.
+// call that the Balancer has seen is delivered here, except Disconnected. reason is the Balancer's, if it decided the
+// result.
 //
 // Guard: prevents two results for one call whose answer, deadline and client disconnect coincide. The front would
 // answer twice, or this goroutine would block. This holds because only this goroutine reads and sets answered.
-func (e *Engine) reply(c *Call, r Result) {
+func (e *Engine) reply(c *Call, r Result, reason balancer.Reason) {
 	if c.answered {
 		return
 	}
 	e.closeCall(c)
 	r.Attempts = len(c.attempts)
+	e.traceResult(c, &r, reason)
 	c.result <- r
 }
 
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -14,12 +14,14 @@
 	if complete {
 		e.activeProcesses = make(map[string]float64, len(u.Endpoints))
 	}
+	drained := 0
 	endpoints := make([]balancer.Endpoint, len(u.Endpoints))
 	for i, ep := range u.Endpoints {
 		if isActive(ep) {
 			e.activeProcesses[ep.ID] = ep.StartedAtMS
 		} else if startedAtMS, active := before[ep.ID]; active {
 			delete(e.activeProcesses, ep.ID)
+			drained++
 			e.drains[ep.ID] = drain{startedAtMS, u.Version, time.Now()}
 		}
 		endpoints[i] = balancer.Endpoint{
@@ -32,6 +34,7 @@
 		}
 	}
 	e.decide(balancer.EndpointUpdate{Kind: u.Kind, Endpoints: endpoints})
+	e.traceUpdate(&u, drained)
 }
 
 func isActive(ep Endpoint) bool { return ep.State == balancer.Active }
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -1,5 +1,7 @@
 package engine
 
+import "hazelwing/balancer"
+
 // shutDown answers all calls in flight and waits for every exchange to end. It sets stopping first, after which the
 // engine does not call the Balancer.
 func (e *Engine) shutDown() {
@@ -29,7 +31,7 @@
 		if len(c.attempts) == 0 && len(c.PriorAttempts) == 0 {
 			result = Result{Kind: Rejected, Err: errClosed}
 		}
-		e.reply(c, result)
+		e.reply(c, result, balancer.NoReason)
 		c.cancelAttempts()
 	}
 }
--- a/internal/engine/source.go
+++ b/internal/engine/source.go
@@ -36,6 +36,8 @@
 	// Watch requests the complete list.
 	Version   int64
 	Endpoints []Endpoint
+	// ArrivedAt is when the first byte of the update arrived; zero if unknown. It is for logs only.
+	ArrivedAt time.Time
 	Err       error // cause of a WatchFailed update
 	Reachable bool  // WatchFailed only: whether the source is believed to be reachable
 }
--- a/internal/front/clientconn/conn.go
+++ b/internal/front/clientconn/conn.go
@@ -148,6 +148,7 @@
 	if !first {
 		return nil
 	}
+	c.listener.traceClose(c, "closed by the client, or after its last response or a timeout")
 	err := c.closeSocket()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
--- a/internal/front/clientconn/eviction.go
+++ b/internal/front/clientconn/eviction.go
@@ -42,6 +42,7 @@
 	if oldest == nil {
 		return false
 	}
+	l.traceClose(oldest, "evicted for a new connection")
 	_ = oldest.closeSocket() // no response is lost: the connection has no open request
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/front/clientconn/listener.go
+++ b/internal/front/clientconn/listener.go
@@ -20,7 +20,9 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"runtime"
@@ -34,6 +36,7 @@
 type Listener struct {
 	*net.TCPListener
 	maxConns      int
+	log           *slog.Logger // gets a debug line for each closed connection
 	onLimit       func()       // called for each connection that is accepted while maxConns connections are open
 	lastAccepted  atomic.Int64 // time of the last accepted connection, in Unix nanoseconds
 	readAheadPool atomic.Int64 // bytes that connections may still borrow for read-ahead
@@ -53,6 +56,7 @@
 func New(l net.Listener, maxConns int, onLimit func()) *Listener {
 	listener := &Listener{
 		TCPListener: l.(*net.TCPListener),
+		log:         slog.New(slog.DiscardHandler),
 		maxConns:    maxConns,
 		onLimit:     onLimit,
 		drained:     make(chan struct{}),
@@ -61,6 +65,17 @@
 	return listener
 }
 
+// SetLog makes the listener log each connection that is closed, with the reason, at debug level. It must be called
+// before Serve.
+func (l *Listener) SetLog(log *slog.Logger) { l.log = log.With("component", "front") }
+
+// traceClose logs that a client's connection is closed, at debug level.
+func (l *Listener) traceClose(c net.Conn, reason string) {
+	if l.log.Enabled(context.Background(), slog.LevelDebug) {
+		l.log.Debug("client connection closed", "client", c.RemoteAddr().String(), "reason", reason)
+	}
+}
+
 // attach configures h, which serves l, to pass each request its connection in the request's context, and to tell the
 // connection when a response was written.
 func (l *Listener) attach(h *http.Server) {
@@ -97,6 +112,7 @@
 		if c := l.admit(tcp); c != nil {
 			return c, nil
 		}
+		l.traceClose(tcp, "connection limit, none could be evicted")
 		_ = tcp.Close() // no connection could be evicted for it
 	}
 }
--- a/internal/front/clientconn/stop.go
+++ b/internal/front/clientconn/stop.go
@@ -33,6 +33,7 @@
 // is held, and hasNoInput acquires readMu.
 func (c *Conn) closeIfIdle() {
 	if c.hasServed && c.hasNoInput() && c.markClosed() {
+		c.listener.traceClose(c, "idle at the stop")
 		_ = c.closeSocket() // all responses were written
 		c.listener.release()
 	}
--- a/internal/transport/http1/exchange.go
+++ b/internal/transport/http1/exchange.go
@@ -145,6 +145,7 @@
 	returned := false // whether c was returned to the pool
 	defer func() {
 		if !returned {
+			x.pool.traceClose(x.endpoint.id, "exchange ended without a reusable response")
 			_ = c.Close() // the exchange already has its outcome
 		}
 	}()
@@ -219,6 +220,7 @@
 		case netpeek.Readable:
 			x.pool.recordUnsolicitedData()
 		}
+		x.pool.traceClose(x.endpoint.id, "closed by the endpoint, or unsolicited data")
 		_ = c.Close() // nothing was written to it
 	}
 }
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -17,6 +17,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -47,6 +48,7 @@
 	maxConns         int           // limit on openConns
 	onConnLimit      func()        // called when an exchange has to wait for a connection slot
 	maxResponseBytes int64         // limit on the body of a response
+	log              *slog.Logger
 
 	mu                sync.Mutex
 	openConns         int
@@ -90,6 +92,8 @@
 	// MaxResponseBytes limits the body of a response. The default, and the minimum, is 512 KiB. A higher value allows
 	// each attempt to take more memory.
 	MaxResponseBytes int64
+	// Log gets a debug line for each connection that is closed. It may be nil.
+	Log *slog.Logger
 	// OnConnLimit is called, from any goroutine, when an exchange has to wait for a connection slot. It may be nil.
 	OnConnLimit func()
 }
@@ -108,7 +112,11 @@
 	if c.OnConnLimit == nil {
 		c.OnConnLimit = func() {}
 	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Pool{
+		log:              c.Log.With("component", "transport"),
 		dialer:           net.Dialer{Timeout: c.ConnectTimeout},
 		maxIdle:          time.Duration(float64(c.EndpointIdleTimeout) * idleShare),
 		reuseDelay:       reuseDelay,
@@ -129,7 +137,7 @@
 		case <-ctx.Done():
 			p.mu.Lock()
 			for _, e := range p.endpoints {
-				p.closeOldest(e, len(e.idle))
+				p.closeOldest(e, len(e.idle), "shutdown")
 			}
 			p.mu.Unlock()
 			return
@@ -143,9 +151,10 @@
 	}
 }
 
-// closeOldest closes the n least recently used idle connections of e. The caller holds p.mu.
-func (p *Pool) closeOldest(e *endpoint, n int) {
+// closeOldest closes the n least recently used idle connections of e, and logs the reason. The caller holds p.mu.
+func (p *Pool) closeOldest(e *endpoint, n int, reason string) {
 	for _, c := range e.idle[:n] {
+		p.traceClose(e.id, reason)
 		_ = c.Conn.Close() // an idle connection carries no request
 		p.releaseSlot()
 	}
@@ -164,7 +173,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.endpoints[id]; e != nil {
-		p.closeOldest(e, len(e.idle))
+		p.closeOldest(e, len(e.idle), "requested by the balancer")
+	}
+}
+
+// traceClose logs that a connection to an endpoint is closed, at debug level.
+func (p *Pool) traceClose(endpointID, reason string) {
+	if p.log.Enabled(context.Background(), slog.LevelDebug) {
+		p.log.Debug("endpoint connection closed", "endpoint", endpointID, "reason", reason)
 	}
 }
 
@@ -190,7 +206,7 @@
 		}
 		current := process{entry.Addr, entry.StartedAtMS}
 		if e.process != current { // the idle connections belong to the earlier process
-			p.closeOldest(e, len(e.idle))
+			p.closeOldest(e, len(e.idle), "endpoint restarted")
 			e.process = current
 		}
 		e.removedAt = time.Time{}
@@ -211,5 +227,5 @@
 	if e.removedAt.IsZero() {
 		e.removedAt = at
 	}
-	p.closeOldest(e, len(e.idle))
+	p.closeOldest(e, len(e.idle), "endpoint draining or removed")
 }
--- a/internal/transport/http1/reuse.go
+++ b/internal/transport/http1/reuse.go
@@ -44,7 +44,7 @@
 	}
 	for _, other := range p.endpoints {
 		if p.openConns >= p.maxConns && len(other.idle) > 0 {
-			p.closeOldest(other, 1)
+			p.closeOldest(other, 1, "connection limit")
 		}
 	}
 	if err := p.acquireSlot(ctx); err != nil {
@@ -70,6 +70,7 @@
 		return
 	}
 	p.mu.Unlock()
+	p.traceClose(e.id, "not reusable")
 	_ = c.Close() // it carries no request
 }
 
@@ -91,7 +92,7 @@
 	for n < len(e.idle) && now.Sub(e.idle[n].idleSince) >= p.maxIdle {
 		n++
 	}
-	p.closeOldest(e, n)
+	p.closeOldest(e, n, "idle for too long")
 }
 
 // peek returns the state of an idle connection. The connection can be used if it is netpeek.Idle, that is, if the
