Apply the drains of an update as its entries arrive, not when it is complete

Cause: watch.objectReader returned an event only with its last byte. The entries that had arrived took effect when the rest had, or, if the connection was reset in between, when a later call was answered; a sidecar counts as notified of each entry when it is written. A list of 200 endpoints arrives in one piece, one of 3,200 (0.5 MB) does not.

Change: eventReader decodes the entries of an incomplete event as they arrive and passes them on in partial updates. The engine applies an entry early if it shows that the process in use drains or was replaced (appliesEarly): that holds whatever the rest says. Everything else still waits for the complete event. Partial updates that wait together are applied together. It holds for the first event of a watch, for later ones, for the complete list beside a watch, and behind relay and mergedsource. keepDrains gets the version of an early drain from the complete update if it was not known.

--- a/cmd/hazelwing/cpuquota_test.go
+++ b/cmd/hazelwing/cpuquota_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"syscall"
-	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -28,10 +27,9 @@
 	return time.Duration(t.Nano()), err
 }
 
-// limitProcessor limits a process to a share of a core, until ctx ends. In each quotaPeriod, the process is stopped once
-// it has used its share of the period, and continued at the end of the period. It returns once the process is
-// continued for the last time.
-func limitProcessor(ctx context.Context, t *testing.T, process *os.Process, share float64) {
+// limitProcessor limits a process to a share of a core, until ctx ends. In each quotaPeriod, the process is stopped
+// once it has used its share of the period, and continued at the end of the period.
+func limitProcessor(ctx context.Context, process *os.Process, share float64) {
 	quota := time.Duration(share * float64(quotaPeriod))
 	signal := func(s syscall.Signal) { _ = process.Signal(s) } // the process may have ended
 	defer signal(syscall.SIGCONT)
@@ -55,5 +53,4 @@
 		time.Sleep(time.Until(periodEnd))
 		signal(syscall.SIGCONT)
 	}
-	t.Logf("processor quota of %v per %v ended", quota, quotaPeriod)
 }
--- a/cmd/hazelwing/largelist_test.go
+++ b/cmd/hazelwing/largelist_test.go
@@ -24,7 +24,8 @@
 
 var (
 	largeListSeed = flag.Uint64("largelist.seed", 1, "seed of TestDrainsInLargeListsTakeEffectInTime")
-	largeListRuns = flag.Int("largelist.runs", 1, "number of runs of TestDrainsInLargeListsTakeEffectInTime for each case")
+	largeListRuns = flag.Int("largelist.runs", 1,
+		"number of runs of TestDrainsInLargeListsTakeEffectInTime for each case")
 )
 
 const (
@@ -165,14 +166,14 @@
 	}
 }
 
-// write writes text in parts and returns when each part was written.
-func (s *scriptedWatch) write(t *testing.T, text []byte, parts int) (writtenAt []time.Time) {
+// write writes text.
+func (s *scriptedWatch) write(t *testing.T, text []byte) {
 	t.Helper()
-	return s.writeFirst(t, text, parts, parts)
+	s.writeParts(t, text, 1, 1)
 }
 
-// writeFirst is like write, but writes only the first n parts.
-func (s *scriptedWatch) writeFirst(t *testing.T, text []byte, parts, n int) (writtenAt []time.Time) {
+// writeParts writes the first n of a number of parts of text, and returns when each was written.
+func (s *scriptedWatch) writeParts(t *testing.T, text []byte, parts, n int) (writtenAt []time.Time) {
 	t.Helper()
 	for i := range n {
 		if i > 0 {
@@ -193,7 +194,7 @@
 func (s *scriptedWatch) sendHeartbeats(t *testing.T, d time.Duration) {
 	t.Helper()
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(heartbeatPeriod) {
-		s.write(t, []byte("\n"), 1)
+		s.write(t, []byte("\n"))
 	}
 }
 
@@ -222,7 +223,11 @@
 
 func startLargeListSidecar(t *testing.T, size int) *largeListSidecar {
 	t.Helper()
-	s := &largeListSidecar{servers: startCountedServers(t, size), discovery: startScriptedDiscovery(t), log: new(logBuffer)}
+	s := &largeListSidecar{
+		servers:   startCountedServers(t, size),
+		discovery: startScriptedDiscovery(t),
+		log:       new(logBuffer),
+	}
 	hosts := s.servers.entries(size)
 	traffic := &emulator.Traffic{TrafficHeader: emulator.TrafficHeader{Classes: trafficClasses}}
 	text, err := emulator.PlatformConfig(traffic, "", s.discovery.addr, "7")
@@ -246,7 +251,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	t.Cleanup(func() { stop(); running.Wait() })
-	running.Go(func() { limitProcessor(ctx, t, cmd.Process, processorShare) })
+	running.Go(func() { limitProcessor(ctx, cmd.Process, processorShare) })
 	running.Go(func() { s.sendRequests(ctx) })
 	return s
 }
@@ -303,7 +308,7 @@
 	s := startLargeListSidecar(t, largeListSize)
 	watch := testutil.Receive(t, s.discovery.watches, "a watch")
 	entries := s.servers.entries(largeListSize * 7 / 8)
-	watch.write(t, listText(t, 2, true, false, entries), 1)
+	watch.write(t, listText(t, 2, true, false, entries))
 	watch.sendHeartbeats(t, 1500*time.Millisecond+time.Duration(rng.IntN(500))*time.Millisecond)
 	if script.outage {
 		s.discovery.outage.Store(true)
@@ -324,7 +329,7 @@
 	if script.cut {
 		parts = script.pieces / 2
 	}
-	writtenAt := watch.writeFirst(t, text, script.pieces, parts)
+	writtenAt := watch.writeParts(t, text, script.pieces, parts)
 	if script.cut {
 		s.discovery.outage.Store(true)
 		time.Sleep(pieceInterval) // a reset may overtake data that the sidecar has not read
@@ -332,7 +337,7 @@
 		time.Sleep(rejectionPeriod)
 		s.discovery.outage.Store(false)
 		watch = testutil.Receive(t, s.discovery.watches, "a watch after the reset")
-		watch.write(t, listText(t, 3, true, false, entries), 1)
+		watch.write(t, listText(t, 3, true, false, entries))
 	}
 	watch.sendHeartbeats(t, time.Second)
 	s.checkDrains(t, drained, func(id string) (notified time.Time, ok bool) {
@@ -353,7 +358,9 @@
 }
 
 // change returns the changed entries of servers that drain or start, and the indexes of those that drain.
-func (s *countedServers) change(entries []emulator.Endpoint, rng *rand.Rand) (changed []emulator.Endpoint, drained []int) {
+func (s *countedServers) change(
+	entries []emulator.Endpoint, rng *rand.Rand,
+) (changed []emulator.Endpoint, drained []int) {
 	now := time.Now()
 	for i := range s.ids {
 		if i >= len(entries) {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
+	//nolint:contextcheck // the context is only an argument of slog
 	b.openTransport()
 	b.readCachedList()
 	steps := []func(ctx context.Context) error{
@@ -150,6 +151,7 @@
 	if b.deduplicator != nil {
 		transport = b.deduplicator.Transport(b.pool)
 	}
+	//nolint:contextcheck // the context is only an argument of slog
 	newEngine, err := engine.New(engine.Config{
 		Settings:   b.settings,
 		Seed:       uint64(b.platformConfig.Seed),
--- a/internal/discovery/mergedsource/endpoints.go
+++ b/internal/discovery/mergedsource/endpoints.go
@@ -28,16 +28,16 @@
 		listed[e.ID] = true
 		update.Endpoints = append(update.Endpoints, fromEngine(e))
 		if e.State == balancer.Active {
-			s.platformIDs[e.ID] = true
+			s.platformStarts[e.ID] = e.StartedAtMS
 		} else {
-			delete(s.platformIDs, e.ID)
+			delete(s.platformStarts, e.ID)
 		}
 	}
 	if update.Complete {
-		for _, id := range slices.Sorted(maps.Keys(s.platformIDs)) {
+		for _, id := range slices.Sorted(maps.Keys(s.platformStarts)) {
 			if !listed[id] {
 				update.Endpoints = append(update.Endpoints, discovery.Endpoint{ID: id, State: balancer.Removed})
-				delete(s.platformIDs, id)
+				delete(s.platformStarts, id)
 			}
 		}
 	}
@@ -84,7 +84,8 @@
 		e := change.Endpoint
 		isListed := e.State == balancer.Active
 		s.log.Info("endpoint list changed", "id", e.ID, "addr", e.Addr, "listed", isListed, "reason", change.Reason)
-		if isListed && e.StartedAtMS == 0 && !s.platformIDs[e.ID] && !s.initialAddrs[e.Addr] {
+		_, platformLists := s.platformStarts[e.ID]
+		if isListed && e.StartedAtMS == 0 && !platformLists && !s.initialAddrs[e.Addr] {
 			e.StartedAtMS = float64(s.cfg.Now().UnixMilli())
 		}
 		list = append(list, toEngine(e))
--- a/internal/discovery/mergedsource/run.go
+++ b/internal/discovery/mergedsource/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +111,9 @@
 	if e.request != s.current {
 		return 0 // the watch of this update has been replaced; the present watch started from an earlier version
 	}
+	if e.update.Partial {
+		return s.applyDepartures(e.update)
+	}
 	if e.update.Kind == balancer.WatchFailed {
 		changes, nextTick := s.merger.SourceFailed(s.now(), PlatformSourceName)
 		s.notifyOutOfBand(changes)
@@ -126,6 +130,23 @@
 	return nextTick
 }
 
+// applyDepartures applies those entries of an update of the platform which show that a listed process is draining or
+// removed, and ignores the others. It returns when the merger's Tick must be called next.
+func (s *Source) applyDepartures(update engine.EndpointUpdate) (nextTick time.Duration) {
+	update.Kind = balancer.Delta
+	update.Endpoints = slices.DeleteFunc(slices.Clone(update.Endpoints), func(ep engine.Endpoint) bool {
+		startedAtMS, listed := s.platformStarts[ep.ID]
+		return ep.State == balancer.Active || !listed || ep.StartedAtMS < startedAtMS
+	})
+	if len(update.Endpoints) == 0 {
+		return 0
+	}
+	s.reportDepartures(update)
+	changes, nextTick := s.applyPlatformUpdate(s.now(), update)
+	s.notifyOutOfBand(changes)
+	return nextTick
+}
+
 // updateEvent is an update of an additional source.
 type updateEvent struct{ update discovery.Update }
 
--- a/internal/discovery/mergedsource/source.go
+++ b/internal/discovery/mergedsource/source.go
@@ -85,7 +85,7 @@
 	current           *watchRequest      // request for the present watch of the platform
 	stopPlatformWatch context.CancelFunc // stops the present watch of the platform
 	platformSeq       int64              // sequence number of the platform's last update
-	platformIDs       map[string]bool    // IDs of the endpoints that the platform lists
+	platformStarts    map[string]float64 // StartedAtMS of the endpoints that the platform lists, by ID
 	hasReported       map[string]bool    // names of the additional sources that have sent an update
 	initialAddrs      map[string]bool    // addresses in the first update of each additional source
 }
@@ -135,7 +135,7 @@
 		watchRequested: make(chan struct{}, 1),
 		platform:       cfg.Platform,
 		merger:         merger,
-		platformIDs:    map[string]bool{},
+		platformStarts: map[string]float64{},
 		hasReported:    map[string]bool{},
 		initialAddrs:   map[string]bool{},
 	}
--- a/internal/discovery/mergedsource/source_test.go
+++ b/internal/discovery/mergedsource/source_test.go
@@ -271,3 +271,28 @@
 		t.Errorf("New rejected a valid configuration: %v", err)
 	}
 }
+
+// The drain of an endpoint must take effect before its update is complete, also if the lists are merged. The drain of a
+// former process, and an endpoint that is not listed, must not.
+func TestPartialUpdateOfPlatform(t *testing.T) {
+	h := start(t, 0, "a", "b")
+	running := endpoints("a")[0]
+	running.StartedAtMS = 1000
+	h.watch.notify(engine.EndpointUpdate{Kind: balancer.Delta, Version: 2, Endpoints: []engine.Endpoint{running}})
+	testutil.Receive(t, h.updates, "the restart of a")
+	former, drained, unknown := running, running, running
+	former.State, former.StartedAtMS = balancer.Draining, 500
+	drained.State = balancer.Draining
+	unknown.ID = "x"
+	h.watch.notify(engine.EndpointUpdate{
+		Kind: balancer.OutOfBand, Partial: true, Endpoints: []engine.Endpoint{former, unknown},
+	})
+	h.watch.notify(engine.EndpointUpdate{
+		Kind: balancer.OutOfBand, Partial: true, Endpoints: []engine.Endpoint{drained},
+	})
+	update := testutil.Receive(t, h.updates, "the drain")
+	if update.Kind != balancer.OutOfBand || len(update.Endpoints) != 1 || update.Endpoints[0].ID != "a" ||
+		update.Endpoints[0].State == balancer.Active {
+		t.Errorf("the engine received %+v, want only that a is draining", update)
+	}
+}
--- a/internal/discovery/relay/sourcewatch.go
+++ b/internal/discovery/relay/sourcewatch.go
@@ -151,6 +151,9 @@
 			}
 		case update := <-updates:
 			switch {
+			case update.Partial: // followers receive the complete update
+				w.deliver(update)
+				continue
 			case update.Kind == balancer.WatchFailed:
 				return followResult{version: update.Version, reachable: update.Reachable, err: update.Err}
 			case w.outdated(selected, &update):
--- a/internal/discovery/watch/client.go
+++ b/internal/discovery/watch/client.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"maps"
@@ -119,52 +118,34 @@
 
 // stream is the response to a watch call. Its first event has been read.
 type stream struct {
-	body    io.Closer
-	objects *objectReader
-	first   streamEvent
-}
-
-// streamEvent is an event of a watch, an empty line, or the error that ended the watch.
-type streamEvent struct {
-	update *engine.EndpointUpdate // nil for an empty line, which shows that the watch is alive
-	err    error                  // wraps errMalformedEvent if data of the watch could not be read
+	body   io.Closer
+	events *eventReader
+	first  streamEvent
 }
 
 // openStream opens a watch and reads its first event. eventsLost reports whether the call has delivered data that could
-// not be read.
-func (c *Client) openStream(ctx context.Context, version int64) (s *stream, eventsLost bool, err error) {
+// not be read. onPartial receives the entries of events that are not complete; see eventReader.
+func (c *Client) openStream(
+	ctx context.Context, version int64, onPartial func(engine.EndpointUpdate),
+) (s *stream, eventsLost bool, err error) {
 	resp, err := c.get(ctx, "?watch=1&from="+strconv.FormatInt(max(version, 0), 10))
 	if err != nil {
 		return nil, false, err
 	}
-	objects := newObjectReader(resp.Body)
-	first := c.nextEvent(objects)
+	events := newEventReader(resp.Body, c.log, onPartial)
+	first := events.next()
 	if first.err != nil {
 		closeBody(resp)
-		eventsLost = objects.partial.Load() || errors.Is(first.err, errMalformedEvent)
+		eventsLost = events.objects.partial.Load() || errors.Is(first.err, errMalformedEvent)
 		return nil, eventsLost, causeOf(ctx, first.err)
 	}
-	return &stream{body: resp.Body, objects: objects, first: first}, false, nil
-}
-
-// nextEvent reads the next event or empty line.
-func (c *Client) nextEvent(objects *objectReader) streamEvent {
-	text, err := objects.next()
-	if text == nil || err != nil {
-		return streamEvent{err: err}
-	}
-	update, err := c.updateFromJSON(text)
-	if err != nil {
-		return streamEvent{err: fmt.Errorf("%w: %w", errMalformedEvent, err)}
-	}
-	update.ArrivedAt = objects.beganAt
-	return streamEvent{update: &update}
+	return &stream{body: resp.Body, events: events, first: first}, false, nil
 }
 
 // readEvents sends the events of a watch, starting with the first one, until the watch fails or ctx is done. If the
 // watch fails, the last event has the error.
 func (c *Client) readEvents(ctx context.Context, s *stream, events chan<- streamEvent) {
-	for event := s.first; ; event = c.nextEvent(s.objects) {
+	for event := s.first; ; event = s.events.next() {
 		select {
 		case events <- event:
 		case <-ctx.Done():
@@ -205,8 +186,15 @@
 // Each call is abandoned after silenceTimeout, whatever data it has received. This prevents a response that never ends
 // from blocking the request for as long as the watch is open: the list would remain incomplete, and would not be
 // requested again.
-func (c *Client) fetchList(ctx context.Context) (engine.EndpointUpdate, error) {
-	attempt, _, err := hedge(ctx, c.silenceTimeout, c.hedge, c.fetchListOnce)
+//
+// onPartial receives the entries of responses that are not complete; see eventReader.
+func (c *Client) fetchList(
+	ctx context.Context, onPartial func(engine.EndpointUpdate),
+) (engine.EndpointUpdate, error) {
+	fetch := func(ctx context.Context) (engine.EndpointUpdate, error) {
+		return c.fetchListOnce(ctx, onPartial)
+	}
+	attempt, _, err := hedge(ctx, c.silenceTimeout, c.hedge, fetch)
 	if err != nil {
 		return engine.EndpointUpdate{}, err
 	}
@@ -215,21 +203,27 @@
 }
 
 // fetchListOnce makes one request for the complete list.
-func (c *Client) fetchListOnce(ctx context.Context) (engine.EndpointUpdate, error) {
+func (c *Client) fetchListOnce(
+	ctx context.Context, onPartial func(engine.EndpointUpdate),
+) (engine.EndpointUpdate, error) {
 	resp, err := c.get(ctx, "")
 	if err != nil {
 		return engine.EndpointUpdate{}, err
 	}
 	defer closeBody(resp)
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
-	if err != nil {
-		return engine.EndpointUpdate{}, causeOf(ctx, err)
-	}
-	update, err := c.updateFromJSON(text)
-	if err == nil && update.Kind != balancer.CompleteList {
-		err = errNotComplete
+	events := newEventReader(resp.Body, c.log, onPartial)
+	for {
+		event := events.next()
+		switch {
+		case event.err != nil:
+			return engine.EndpointUpdate{}, causeOf(ctx, event.err)
+		case event.update == nil: // an empty line before the list
+		case event.update.Kind != balancer.CompleteList:
+			return engine.EndpointUpdate{}, errNotComplete
+		default:
+			return *event.update, nil
+		}
 	}
-	return update, err
 }
 
 // closeBody closes the body of a response. It ignores the error, because the connection is not used again.
--- a/internal/discovery/watch/event.go
+++ b/internal/discovery/watch/event.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"encoding/json"
 	"errors"
 
 	"hazelwing/balancer"
@@ -94,21 +93,3 @@
 	}
 	return balancer.Draining, &unknownHealthError{id: e.ID, health: e.Health}
 }
-
-// updateFromJSON decodes an Event from JSON and converts it to an update for the engine.
-func (c *Client) updateFromJSON(text []byte) (engine.EndpointUpdate, error) {
-	var event Event
-	if err := json.Unmarshal(text, &event); err != nil {
-		return engine.EndpointUpdate{}, err
-	}
-	update := engine.EndpointUpdate{Kind: balancer.Delta, Version: event.Version}
-	if event.Complete {
-		update.Kind = balancer.CompleteList
-	}
-	endpoints, err := event.ToEndpoints()
-	if err != nil {
-		c.log.Warn("endpoint with unknown health counts as draining", "error", err)
-	}
-	update.Endpoints = endpoints
-	return update, nil
-}
--- a/internal/discovery/watch/objectreader.go
+++ b/internal/discovery/watch/objectreader.go
@@ -18,7 +18,13 @@
 	partial atomic.Bool // an object has begun and is not complete; may be read by any goroutine
 
 	reader *bufio.Reader
-	object []byte // part of the present object that has arrived
+	// onEntries receives the entries of an object that is not complete as they arrive; see entryList.take. It may be
+	// nil.
+	onEntries func(entries, header []byte) error
+
+	object  []byte // part of the present object that has arrived, without the entries that onEntries has received
+	length  int    // length of the part of the present object that has arrived
+	entries entryList
 	// beganAt is when the first byte of the present object was read; it remains valid until the next object begins.
 	beganAt time.Time
 
@@ -28,8 +34,12 @@
 	lineHasObject bool // an object began or ended on the present line
 }
 
+// readBufferSize is the maximum number of bytes that are read at a time. With a higher value, the entries of an object
+// are passed on in fewer and larger parts.
+const readBufferSize = 32 << 10
+
 func newObjectReader(body io.Reader) *objectReader {
-	return &objectReader{reader: bufio.NewReader(body)}
+	return &objectReader{reader: bufio.NewReaderSize(body, readBufferSize)}
 }
 
 // next returns the text of the next object, which is valid until the next call, or nil for an empty line between two
@@ -39,6 +49,8 @@
 // line arrives, which may be the next empty line: draining endpoints would be used in the meantime.
 func (o *objectReader) next() ([]byte, error) {
 	o.object = o.object[:0]
+	o.length = 0
+	o.entries = entryList{}
 	for {
 		_, err := o.reader.Peek(1)
 		if err != nil {
@@ -54,7 +66,22 @@
 		case len(o.object) > 0 && o.depth == 0:
 			return o.object, nil
 		}
+		if err := o.passEntries(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// passEntries passes the entries that have arrived of an object which is not complete to onEntries.
+func (o *objectReader) passEntries() error {
+	if o.onEntries == nil {
+		return nil
+	}
+	entries, header := o.entries.take(&o.object)
+	if entries == nil {
+		return nil
 	}
+	return o.onEntries(entries, header)
 }
 
 // readError returns the error for a failed read. It replaces io.EOF by errMalformedEvent within an object, and by
@@ -64,7 +91,7 @@
 	case !errors.Is(err, io.EOF):
 		return err
 	case o.depth > 0:
-		return fmt.Errorf("%w: the response ended after %d bytes of an object", errMalformedEvent, len(o.object))
+		return fmt.Errorf("%w: the response ended after %d bytes of an object", errMalformedEvent, o.length)
 	}
 	return errWatchEnded
 }
@@ -76,8 +103,9 @@
 	if err == nil && !emptyLine {
 		length := o.objectLength(piece[n:])
 		o.object = append(o.object, piece[n:n+length]...)
+		o.length += length
 		n += length
-		if len(o.object) > maxEventBytes {
+		if o.length > maxEventBytes {
 			err = fmt.Errorf("%w: the object is longer than %d bytes", errMalformedEvent, maxEventBytes)
 		}
 	}
@@ -114,7 +142,7 @@
 // objectLength returns the number of bytes of piece that belong to the present object, which may begin with piece.
 func (o *objectReader) objectLength(piece []byte) int {
 	for n, c := range piece {
-		o.scan(c)
+		o.scan(c, len(o.object)+n)
 		if o.depth == 0 {
 			return n + 1
 		}
@@ -122,8 +150,9 @@
 	return len(piece)
 }
 
-// scan updates the state for one byte of an object. It does not check the syntax of the object.
-func (o *objectReader) scan(c byte) {
+// scan updates the state for one byte of an object, which has the given offset in o.object. It does not check the
+// syntax of the object.
+func (o *objectReader) scan(c byte, offset int) {
 	switch {
 	case o.escaped:
 		o.escaped = false
@@ -134,7 +163,9 @@
 		o.inString = true
 	case c == '{', c == '[':
 		o.depth++
+		o.entries.scanned(c, offset, o.depth)
 	case c == '}', c == ']':
 		o.depth--
+		o.entries.scanned(c, offset, o.depth)
 	}
 }
--- a/internal/discovery/watch/session.go
+++ b/internal/discovery/watch/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +19,9 @@
 	client  *Client
 	start   time.Time
 	tracker *listTracker // its times are durations since start
-	deliver func(engine.EndpointUpdate)
+
+	deliverMu sync.Mutex // held during each call of deliver, because several goroutines deliver partial updates
+	deliver   func(engine.EndpointUpdate)
 
 	// reached and eventsLost are atomic because the attempts to open the watch set them, each in its own goroutine.
 	reached    atomic.Bool // a failed attempt has reached the service
@@ -38,7 +41,14 @@
 ) engine.EndpointUpdate {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	s := &session{client: c, start: time.Now(), deliver: deliver}
+	s := &session{client: c, start: time.Now()}
+	s.deliver = func(update engine.EndpointUpdate) {
+		s.deliverMu.Lock()
+		defer s.deliverMu.Unlock()
+		if ctx.Err() == nil {
+			deliver(update)
+		}
+	}
 	s.tracker = newListTracker(version, c.shared, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	err := s.run(ctx, version)
 	return engine.EndpointUpdate{
@@ -65,7 +75,7 @@
 
 // open makes one attempt to open the watch.
 func (s *session) open(ctx context.Context, version int64) (*stream, error) {
-	opened, eventsLost, err := s.client.openStream(ctx, version)
+	opened, eventsLost, err := s.client.openStream(ctx, version, s.deliver)
 	if err != nil && reachedService(err) {
 		s.reached.Store(true)
 	}
@@ -103,7 +113,7 @@
 ) ([]engine.EndpointUpdate, error) {
 	select {
 	case <-ctx.Done():
-		s.eventsLost.Store(watch.value.objects.partial.Load())
+		s.eventsLost.Store(watch.value.events.objects.partial.Load())
 		return nil, context.Cause(ctx)
 	case event := <-events:
 		watch.timeout.Reset(s.client.silenceTimeout)
@@ -115,7 +125,7 @@
 	case <-s.listTimer():
 		s.tracker.listRequested(time.Since(s.start))
 		go func() {
-			update, err := s.client.fetchList(ctx)
+			update, err := s.client.fetchList(ctx, s.deliver)
 			lists <- listResult{update, err}
 		}()
 		return nil, nil
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -23,6 +23,9 @@
 			delete(e.activeProcesses, ep.ID)
 			drained++
 			e.drains[ep.ID] = drain{startedAtMS, u.Version, time.Now()}
+		} else if d, ok := e.drains[ep.ID]; ok && d.startedAtMS == ep.StartedAtMS {
+			d.version = max(d.version, u.Version) // the version of a partial update may not have been known
+			e.drains[ep.ID] = d
 		}
 		endpoints[i] = balancer.Endpoint{
 			ID:        ep.ID,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -48,7 +48,8 @@
 	clock              clock
 	transport          Transport
 	log                *slog.Logger
-	listIsPushed       bool // the list is watched without a Subscribe action
+	tracesCalls        func() bool // attempts and results of calls are logged
+	listIsPushed       bool        // the list is watched without a Subscribe action
 	maxCalls           int
 	cancelOnDisconnect bool
 
@@ -79,6 +80,7 @@
 	activeProcesses   map[string]float64 // StartedAtMS of each active endpoint, by endpoint ID
 	drains            map[string]drain   // by endpoint ID; keepDrains deletes drains after staleListPeriod
 	pushedWatchFailed bool               // the watch of a pushed list has failed, and no update has arrived since
+	deferredUpdate    *watchUpdate       // next update to handle, before those in updates; nil if there is none
 	sourceReachable   bool               // reachable at the latest update (also the cached list) or failure
 	watchBackoff      backoff.Scheduler  // for watches of a pushed list
 }
@@ -97,6 +99,7 @@
 		clock:              newClock(),
 		transport:          cfg.Transport,
 		log:                log.With("component", "engine"),
+		tracesCalls:        traceEnabled(log),
 		listIsPushed:       !cfg.Settings.MustSubscribe,
 		maxCalls:           cfg.MaxCalls,
 		cancelOnDisconnect: cfg.CancelOnDisconnect,
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -40,6 +40,10 @@
 		e.balancer.SetBalancers(int(e.pendingBalancers.Swap(0)))
 	}
 	// Updates of the endpoint list take precedence, so that they do not wait behind a burst of calls.
+	if u, ok := e.takeDeferredUpdate(); ok {
+		e.handleUpdate(u)
+		return true
+	}
 	select {
 	case u := <-e.updates:
 		e.checkStall()
--- a/internal/engine/source.go
+++ b/internal/engine/source.go
@@ -32,6 +32,9 @@
 // EndpointUpdate is an update delivered by a Source.
 type EndpointUpdate struct {
 	Kind balancer.UpdateKind
+	// Partial means that Endpoints holds entries of an update which has not arrived completely, and which may never do
+	// so. Kind is OutOfBand; Version is 0 if it is not known yet. The complete update follows separately.
+	Partial bool
 	// Version is the version of the list, from which a later Watch continues. After NoVersion or UnknownVersion, a
 	// Watch requests the complete list.
 	Version   int64
--- a/internal/engine/startup.go
+++ b/internal/engine/startup.go
@@ -19,9 +19,9 @@
 	}
 }
 
-// awaitFirstUpdate waits for the first update of a pushed list and handles it. If no update arrives within
-// firstUpdateTimeout, or if done is closed first, it returns without an update. Calls then use the cached list, and
-// also if the first update is of kind WatchFailed.
+// awaitFirstUpdate waits for the first complete update of a pushed list and handles it and the partial updates before
+// it. If none arrives within firstUpdateTimeout, or if done is closed first, it returns without one. Calls then use the
+// cached list, and also if the first update is of kind WatchFailed.
 //
 // Guard: prevents the first calls from going to endpoints that started draining after the cached list was saved: these
 // calls would fail when the endpoints stop. If the update arrives in time, this holds because no call is handled before
@@ -29,10 +29,20 @@
 func (e *Engine) awaitFirstUpdate(done <-chan struct{}) {
 	timeout := time.NewTimer(firstUpdateTimeout)
 	defer timeout.Stop()
-	select {
-	case u := <-e.updates:
+	for {
+		u, ok := e.takeDeferredUpdate()
+		if !ok {
+			select {
+			case u = <-e.updates:
+			case <-timeout.C:
+				return
+			case <-done:
+				return
+			}
+		}
 		e.handleUpdate(u)
-	case <-timeout.C:
-	case <-done:
+		if !u.Partial {
+			return
+		}
 	}
 }
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -14,9 +14,11 @@
 // String returns the kind's text for logs.
 func (k ResultKind) String() string { return resultKindTexts[k] }
 
-// tracesCalls reports whether attempts and results of calls are logged. The methods trace... do nothing if not; callers
-// on the path of each request check it first, so that no attributes are allocated.
-func (e *Engine) tracesCalls() bool { return e.log.Enabled(context.Background(), slog.LevelDebug) }
+// traceEnabled returns a function that reports whether log has debug lines, which may change at runtime. Methods that
+// log on the path of each request call it first, so that no attributes are allocated in vain.
+func traceEnabled(log *slog.Logger) func() bool {
+	return func() bool { return log.Enabled(context.Background(), slog.LevelDebug) }
+}
 
 // traceUpdate logs an update of the endpoint list that was applied, with the time since the update arrived.
 func (e *Engine) traceUpdate(u *EndpointUpdate, drained int) {
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -10,6 +10,7 @@
 //	                  missing from its complete list                 reopened
 //	replaced watch    only drains and removals of active processes   ignored
 //	any watch         OutOfBand: everything                          -
+//	any watch         partial: what appliesEarly selects             -
 //
 // The cached list is not delivered by a watch. It is handled like an update of the current watch, because no watch is
 // open at that time.
@@ -54,6 +55,8 @@
 // handleUpdate handles an update depending on its kind and the watch that delivered it.
 func (e *Engine) handleUpdate(u watchUpdate) {
 	switch {
+	case u.Partial:
+		e.handlePartial(u)
 	case u.Kind == balancer.OutOfBand:
 		// The update did not result from the watch, so it applies even if the watch has failed. Its sender will not
 		// repeat it.
--- a/internal/front/clientconn/listener.go
+++ b/internal/front/clientconn/listener.go
@@ -37,6 +37,7 @@
 	*net.TCPListener
 	maxConns      int
 	log           *slog.Logger // gets a debug line for each closed connection
+	tracesCloses  func() bool  // each closed connection is logged
 	onLimit       func()       // called for each connection that is accepted while maxConns connections are open
 	lastAccepted  atomic.Int64 // time of the last accepted connection, in Unix nanoseconds
 	readAheadPool atomic.Int64 // bytes that connections may still borrow for read-ahead
@@ -57,9 +58,11 @@
 	listener := &Listener{
 		TCPListener: l.(*net.TCPListener),
 		log:         slog.New(slog.DiscardHandler),
-		maxConns:    maxConns,
-		onLimit:     onLimit,
-		drained:     make(chan struct{}),
+
+		tracesCloses: func() bool { return false },
+		maxConns:     maxConns,
+		onLimit:      onLimit,
+		drained:      make(chan struct{}),
 	}
 	listener.readAheadPool.Store(sharedReadAhead)
 	return listener
@@ -67,11 +70,14 @@
 
 // SetLog makes the listener log each connection that is closed, with the reason, at debug level. It must be called
 // before Serve.
-func (l *Listener) SetLog(log *slog.Logger) { l.log = log.With("component", "front") }
+func (l *Listener) SetLog(log *slog.Logger) {
+	l.log = log.With("component", "front")
+	l.tracesCloses = func() bool { return log.Enabled(context.Background(), slog.LevelDebug) }
+}
 
 // traceClose logs that a client's connection is closed, at debug level.
 func (l *Listener) traceClose(c net.Conn, reason string) {
-	if l.log.Enabled(context.Background(), slog.LevelDebug) {
+	if l.tracesCloses() {
 		l.log.Debug("client connection closed", "client", c.RemoteAddr().String(), "reason", reason)
 	}
 }
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -49,6 +49,7 @@
 	onConnLimit      func()        // called when an exchange has to wait for a connection slot
 	maxResponseBytes int64         // limit on the body of a response
 	log              *slog.Logger
+	tracesCloses     func() bool // each closed connection is logged
 
 	mu                sync.Mutex
 	openConns         int
@@ -117,6 +118,7 @@
 	}
 	return &Pool{
 		log:              c.Log.With("component", "transport"),
+		tracesCloses:     func() bool { return c.Log.Enabled(context.Background(), slog.LevelDebug) },
 		dialer:           net.Dialer{Timeout: c.ConnectTimeout},
 		maxIdle:          time.Duration(float64(c.EndpointIdleTimeout) * idleShare),
 		reuseDelay:       reuseDelay,
@@ -179,7 +181,7 @@
 
 // traceClose logs that a connection to an endpoint is closed, at debug level.
 func (p *Pool) traceClose(endpointID, reason string) {
-	if p.log.Enabled(context.Background(), slog.LevelDebug) {
+	if p.tracesCloses() {
 		p.log.Debug("endpoint connection closed", "endpoint", endpointID, "reason", reason)
 	}
 }
