Do not abandon a watch in the middle of a list that begins late

Cause: only a complete event or an empty line restarted the 2.5 s after which a silent watch is abandoned, so an event had what the quiet time before it had left.

Change: watch.silence extends the time-out once when an event begins, to 1.25 s from then, if that is later. A service that stops within an event is noticed 3.75 s after its last event at the latest, which leaves time for a hedged call within the 6 s.

--- a/cmd/hazelwing/decisionspage_test.go
+++ b/cmd/hazelwing/decisionspage_test.go
@@ -100,6 +100,8 @@
 	"engine.queueLength":          "senders wait if the queue is full",
 	"http1.initialBodyBuffer":     "size of a buffer",
 	"httpfront.initialBodyBuffer": "size of a buffer",
+	"watch.listDepth":             "depth of the list in an event",
+	"watch.readBufferSize":        "size of a buffer",
 }
 
 // Each numeric constant of decisionPackages is on the page, except the constants in notDecisions. On-call engineers
--- a/internal/daemon/drainnotice_test.go
+++ b/internal/daemon/drainnotice_test.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// after continues a call with next after d.
+func after(d time.Duration, next callHandler) callHandler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(d)
+		next(w, r)
+	}
+}
+
 // hang keeps a call open and sends nothing.
 func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
@@ -127,6 +135,17 @@
 	{name: "reset, four times", calls: repeat(4, resetConn), worstCase: 5750 * ms},
 	{name: "only headers", calls: repeat(1, respond("", hang)), worstCase: 4000 * ms, alsoPushed: true},
 	{name: "only half of an object", calls: repeat(1, respond(`{"seq":6,"who`, hang)), worstCase: 4000 * ms},
+	{
+		name:       "half of an object on the open watch",
+		endWatch:   respond(`{"seq":6,"who`, hang),
+		worstCase:  2750 * ms,
+		alsoPushed: true,
+	},
+	{
+		name:      "half of an object on the open watch, late",
+		endWatch:  after(2200*time.Millisecond, respond(`{"seq":6,"who`, hang)),
+		worstCase: 3700 * ms,
+	},
 	{name: "only one line", calls: repeat(1, respond("\n", hang)), worstCase: 5500 * ms, alsoPushed: true},
 	{
 		name:      "connection refused, then rejected after 1 s, twice",
--- a/internal/discovery/watch/objectreader.go
+++ b/internal/discovery/watch/objectreader.go
@@ -22,6 +22,8 @@
 	// nil.
 	onEntries func(entries, header []byte) error
 
+	onBegin func() // called when the first byte of an object is read; may be nil
+
 	object  []byte // part of the present object that has arrived, without the entries that onEntries has received
 	length  int    // length of the part of the present object that has arrived
 	entries entryList
@@ -131,6 +133,9 @@
 		case '{':
 			o.lineHasObject = true
 			o.beganAt = time.Now()
+			if o.onBegin != nil {
+				o.onBegin()
+			}
 			return n, false, nil
 		default:
 			return n, false, fmt.Errorf("%w: found %q, want the '{' of an object", errMalformedEvent, c)
--- a/internal/discovery/watch/session.go
+++ b/internal/discovery/watch/session.go
@@ -23,6 +23,8 @@
 	deliverMu sync.Mutex // held during each call of deliver, because several goroutines deliver partial updates
 	deliver   func(engine.EndpointUpdate)
 
+	silence *silence // of the open watch
+
 	// reached and eventsLost are atomic because the attempts to open the watch set them, each in its own goroutine.
 	reached    atomic.Bool // a failed attempt has reached the service
 	eventsLost atomic.Bool // events may be lost: data could not be read, or the complete list was not obtained
@@ -88,6 +90,8 @@
 // follow delivers the updates of the watch and of the requests for the complete list until the watch fails, and returns
 // the error. The goroutines that it starts end when the caller cancels ctx.
 func (s *session) follow(ctx context.Context, watch *attempt[*stream]) error {
+	s.silence = newSilence(s.client.silenceTimeout, watch.timeout)
+	watch.value.events.objects.onBegin = s.silence.eventBegan
 	events := make(chan streamEvent)
 	lists := make(chan listResult, 1) // buffered, so that the goroutine of a request never blocks
 	go s.client.readEvents(ctx, watch.value, events)
@@ -103,11 +107,11 @@
 }
 
 // next waits for one event of the session, and returns the updates to deliver. The watch fails if neither an event nor
-// an empty line arrives within silenceTimeout.
+// an empty line arrives within silenceTimeout; see silence for events that arrive slowly.
 //
 // The timeout prevents a service that hangs, or sends bytes that complete no event, from being mistaken for a service
-// without changes: draining endpoints would still be used. Only an event or an empty line resets the timeout. When it
-// expires, it cancels ctx, which also aborts a read in progress.
+// without changes: draining endpoints would still be used. Only a complete event or an empty line resets the timeout.
+// When it expires, it cancels ctx, which also aborts a read in progress.
 func (s *session) next(
 	ctx context.Context, watch *attempt[*stream], events <-chan streamEvent, lists chan listResult,
 ) ([]engine.EndpointUpdate, error) {
@@ -116,7 +120,7 @@
 		s.eventsLost.Store(watch.value.events.objects.partial.Load())
 		return nil, context.Cause(ctx)
 	case event := <-events:
-		watch.timeout.Reset(s.client.silenceTimeout)
+		s.silence.eventArrived()
 		if event.err != nil {
 			s.eventsLost.Store(errors.Is(event.err, errMalformedEvent))
 			return nil, causeOf(ctx, event.err)
