Apply new and restarted endpoints in time proportional to their number

Requests are sent while the update is applied, or wait for it.

Change: a replaced endpoint names its replacement, and one pass at the end of the update puts the replacements in their places. The order of the list stays the same.

--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -22,6 +22,9 @@
 	listed    bool   // listed as active
 	inSubset  bool
 	startedAt time.Duration
+	// replacedBy is the endpoint that takes this one's place in the list at the end of an update; nil if
+	// there is none.
+	replacedBy *endpoint
 
 	kindMean    *float64   // mean normalized latency of its kind in its zone, in seconds
 	latency     peakEWMA   // normalized latency
@@ -56,6 +59,9 @@
 	for _, entry := range e.Endpoints {
 		b.applyEndpoint(entry)
 	}
+	for i, ep := range b.endpoints {
+		b.endpoints[i] = ep.latestReplacement()
+	}
 	b.endpoints = slices.DeleteFunc(b.endpoints, func(ep *endpoint) bool {
 		if !ep.listed {
 			delete(b.endpointsByID, ep.id)
@@ -69,6 +75,15 @@
 	}
 }
 
+// latestReplacement returns the endpoint that takes ep's place in the list, which is ep unless it was
+// replaced.
+func (ep *endpoint) latestReplacement() *endpoint {
+	for ep.replacedBy != nil {
+		ep = ep.replacedBy
+	}
+	return ep
+}
+
 // applyEndpoint applies one entry of the endpoint list.
 func (b *Balancer) applyEndpoint(entry Endpoint) {
 	ep := b.endpointsByID[entry.ID]
@@ -87,8 +102,8 @@
 }
 
 // addEndpoint adds an endpoint for entry. The new endpoint replaces previous, the former process with the
-// same ID. If previous is nil, the new endpoint is appended to the list. Nothing that was learned about the
-// former process is kept.
+// same ID, at the end of the update. If previous is nil, the new endpoint is appended to the list. Nothing
+// that was learned about the former process is kept.
 func (b *Balancer) addEndpoint(entry Endpoint, previous *endpoint) *endpoint {
 	ep := &endpoint{
 		id:        entry.ID,
@@ -101,11 +116,11 @@
 		b.startWarmUp(ep, entry.StartedAt)
 	}
 	b.endpointsByID[ep.id] = ep
-	if i := slices.Index(b.endpoints, previous); previous != nil && i >= 0 {
-		b.endpoints[i] = ep
-		previous.listed = false // requests whose probed pair contains previous still refer to it
-	} else {
+	if previous == nil {
 		b.endpoints = append(b.endpoints, ep)
+		return ep
 	}
+	previous.replacedBy = ep
+	previous.listed = false // requests whose probed pair contains previous still refer to it
 	return ep
 }
--- /dev/null
+++ b/internal/engine/largelist_test.go
@@ -0,0 +1,57 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hazelwing/balancer"
+)
+
+// updateAt is the time, on the Balancer's clock, of the measured updates.
+const updateAt = time.Hour
+
+// fastestUpdate returns the shortest of several times to apply an update to a Balancer that has the list known.
+func fastestUpdate(t *testing.T, known, update []balancer.Endpoint) time.Duration {
+	t.Helper()
+	fastest := time.Hour
+	for range 7 {
+		s := testSettings()
+		s.Balancers = 300
+		b, err := balancer.New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(0, balancer.EndpointUpdate{Kind: balancer.CompleteList, Endpoints: known}, nil)
+		start := time.Now()
+		b.Handle(updateAt, balancer.EndpointUpdate{Kind: balancer.Delta, Endpoints: update}, nil)
+		fastest = min(fastest, time.Since(start))
+	}
+	return fastest
+}
+
+// The time to apply a list grew with the square of the number of new or restarted endpoints. It must grow in proportion
+// to it: sixteen times the endpoints may take three times sixteen times as long, since larger lists miss the caches.
+func TestUpdateTimeIsProportionalToTheList(t *testing.T) {
+	const small, factor, allowance = 200, 16, 3
+	list := func(n int, startedAt time.Duration) (list []balancer.Endpoint) {
+		for i := range n {
+			list = append(list, balancer.Endpoint{ID: fmt.Sprint("e", i), Zone: "a", Kind: "k", StartedAt: startedAt})
+		}
+		return list
+	}
+	for name, knownStart := range map[string]time.Duration{"new": -1, "restarted": 0} {
+		var elapsed [2]time.Duration
+		for i, n := range []int{small, small * factor} {
+			var known []balancer.Endpoint
+			if knownStart == 0 {
+				known = list(n, 0)
+			}
+			elapsed[i] = fastestUpdate(t, known, list(n, updateAt-time.Second))
+		}
+		if elapsed[1] > allowance*factor*elapsed[0] {
+			t.Errorf("%s endpoints: %v for %d and %v for %d, want at most %d times as long",
+				name, elapsed[0], small, elapsed[1], small*factor, allowance*factor)
+		}
+	}
+}
