Search only the subset for an endpoint, and choose the subset in less time

Cause: draw searched all endpoints for the ten or so of the subset, up to four times a request; countZones and topByHash did work for each endpoint at each choice of the subset, eight times a second.

Change: the subset lists its members in the order of the list, and draw searches these where others are excluded (the same candidates in the same order). Zones are counted when the list changes. topByHash passes over endpoints that are not among the first n.

--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -69,6 +69,7 @@
 		return !ep.listed
 	})
 	b.recentListSize()
+	b.subset.countZones(b.endpoints)
 	b.chooseSubset()
 	if e.Kind == CachedList && b.settings.MustSubscribe {
 		b.subscribeIfNeeded()
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -119,7 +119,7 @@
 }
 
 // draw returns a random candidate, or nil if there is none. It first makes a few random draws from the
-// list, which is cheap, and searches the whole list only if these find no candidate.
+// list, which is cheap, and searches all endpoints that may be candidates only if these find none.
 func (b *Balancer) draw(c *candidates) *endpoint {
 	for range min(maxDraws, drawsPerEndpoint*len(b.endpoints)) {
 		if ep := b.endpoints[b.rng.IntN(len(b.endpoints))]; b.isCandidate(c, ep) {
@@ -128,7 +128,7 @@
 	}
 	var found *endpoint
 	n := 0
-	for _, ep := range b.endpoints {
+	for _, ep := range b.searched(c) {
 		if !b.isCandidate(c, ep) {
 			continue
 		}
@@ -138,3 +138,13 @@
 	}
 	return found
 }
+
+// searched returns the endpoints that may be candidates, in the order of the list: the subset if the others
+// are excluded, and the whole list otherwise. A request of a large fleet would otherwise take time in
+// proportion to the length of the list.
+func (b *Balancer) searched(c *candidates) []*endpoint {
+	if b.subset.members == nil || c.relaxed >= allowOutsideSubset || c.request.keyHash != 0 {
+		return b.endpoints
+	}
+	return b.subset.members
+}
--- a/balancer/rendezvous.go
+++ b/balancer/rendezvous.go
@@ -36,6 +36,9 @@
 		for i > 0 && mix(seed^ep.hash) > mix(seed^top[i-1].hash) {
 			i--
 		}
+		if i == n { // n endpoints have higher hashes
+			continue
+		}
 		if top = slices.Insert(top, i, ep); len(top) > n {
 			top = top[:n]
 		}
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -40,8 +40,9 @@
 type subset struct {
 	seed      uint64 // seed of the random order, which differs between sidecars
 	size      int
+	members   []*endpoint    // in the order of the endpoint list; not set if all endpoints are in the subset
 	homeSize  int            // endpoints that were chosen because they are in the home zone
-	zoneSizes map[string]int // number of endpoints by zone; used if homeSize is above 0
+	zoneSizes map[string]int // number of listed endpoints by zone
 	chosenAt  time.Duration
 }
 
@@ -70,7 +71,6 @@
 	size := int(max(minSubsetSize, b.offeredRate.perSecond(b.now)*subsetPeriod.Seconds()))
 	s.clear(b.endpoints)
 	if b.crossZoneCost() > 0 {
-		s.countZones(b.endpoints)
 		s.add(b.endpoints, b.homeSubsetSize(size), func(ep *endpoint) bool {
 			return ep.zone == b.settings.Zone && !ep.health.isEjected(b.now)
 		})
@@ -79,6 +79,7 @@
 	s.add(b.endpoints, size-s.size, func(ep *endpoint) bool {
 		return !ep.inSubset && !ep.health.isEjected(b.now)
 	})
+	s.listMembers(b.endpoints)
 }
 
 // drawsFromAll reports whether pairs are drawn from all endpoints. They are if there are few sidecars,
@@ -110,6 +111,7 @@
 		ep.inSubset = true
 	}
 	s.size = len(endpoints)
+	s.members = nil
 }
 
 // clear removes all endpoints from the subset.
@@ -118,10 +120,22 @@
 		ep.inSubset = false
 	}
 	s.size = 0
-	clear(s.zoneSizes)
 }
 
+// listMembers sets members.
+func (s *subset) listMembers(endpoints []*endpoint) {
+	clear(s.members) // so that endpoints that are no longer listed are not retained
+	s.members = s.members[:0]
+	for _, ep := range endpoints {
+		if ep.inSubset {
+			s.members = append(s.members, ep)
+		}
+	}
+}
+
+// countZones sets zoneSizes. It must be called whenever the endpoint list changes.
 func (s *subset) countZones(endpoints []*endpoint) {
+	clear(s.zoneSizes)
 	for _, ep := range endpoints {
 		s.zoneSizes[ep.zone]++
 	}
--- a/internal/engine/largelist_test.go
+++ b/internal/engine/largelist_test.go
@@ -55,3 +55,37 @@
 		}
 	}
 }
+
+// The time to pick an endpoint grew with the list, although pairs are drawn from a subset. Between two choices of the
+// subset it must not: sixteen times the endpoints may take three times as long, since larger lists miss the caches.
+func TestPickTimeDoesNotGrowWithTheList(t *testing.T) {
+	const small, factor, allowance, requests = 200, 16, 3, 200
+	var elapsed [2]time.Duration
+	for i, n := range []int{small, small * factor} {
+		elapsed[i] = time.Hour
+		for range 7 {
+			s := testSettings()
+			s.Balancers = 300
+			b, err := balancer.New(s, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var list []balancer.Endpoint
+			for j := range n {
+				list = append(list, balancer.Endpoint{ID: fmt.Sprint("e", j), Zone: "a", Kind: "k"})
+			}
+			b.Handle(updateAt, balancer.EndpointUpdate{Kind: balancer.CompleteList, Endpoints: list}, nil)
+			start := time.Now()
+			for j := range requests {
+				id := fmt.Sprint(j)
+				b.Handle(updateAt, balancer.Request{ID: id, Class: "look", ExpiresAt: updateAt + time.Second}, nil)
+				b.Handle(updateAt, balancer.Outcome{ID: id, Elapsed: time.Millisecond, Finished: true}, nil)
+			}
+			elapsed[i] = min(elapsed[i], time.Since(start))
+		}
+	}
+	if elapsed[1] > allowance*elapsed[0] {
+		t.Errorf("%d requests took %v with %d endpoints and %v with %d, want at most %d times as long",
+			requests, elapsed[0], small, elapsed[1], small*factor, allowance)
+	}
+}
