With merged sources, keep the drains of a watch that is being replaced

Cause: mergedsource ignored each update of a watch that had been replaced, since the next watch repeats it; it may do so seconds later, after calls that fail.

Change: entries that show that the process in use drains or is removed are applied, whichever watch of the platform delivers them.

Test: TestDrainOfReplacedWatchTakesEffect fails before: the drain never came, the next update was the one of the new watch.

--- a/internal/discovery/mergedsource/run.go
+++ b/internal/discovery/mergedsource/run.go
@@ -108,10 +108,9 @@
 }
 
 func (e platformEvent) handle(s *Source) time.Duration {
-	if e.request != s.current {
-		return 0 // the watch of this update has been replaced; the present watch started from an earlier version
-	}
-	if e.update.Partial {
+	// The present watch started from an earlier version than an update of a replaced watch, and will repeat the update,
+	// but perhaps too late for its drains.
+	if e.request != s.current || e.update.Partial {
 		return s.applyDepartures(e.update)
 	}
 	if e.update.Kind == balancer.WatchFailed {
@@ -132,6 +131,10 @@
 
 // applyDepartures applies those entries of an update of the platform which show that a listed process is draining or
 // removed, and ignores the others. It returns when the merger's Tick must be called next.
+//
+// Guard: prevents the loss or the delay of a drain that arrives while its watch is being replaced, or before the rest
+// of its update: requests would go to an endpoint that stops. This holds because the entries of the process in use are
+// applied whichever watch delivers them; a draining process never becomes active again.
 func (s *Source) applyDepartures(update engine.EndpointUpdate) (nextTick time.Duration) {
 	update.Kind = balancer.Delta
 	update.Endpoints = slices.DeleteFunc(slices.Clone(update.Endpoints), func(ep engine.Endpoint) bool {
--- a/internal/discovery/mergedsource/source_test.go
+++ b/internal/discovery/mergedsource/source_test.go
@@ -296,3 +296,24 @@
 		t.Errorf("the engine received %+v, want only that a is draining", update)
 	}
 }
+
+// A drain that the platform's watch delivered while it was being replaced was dropped: the next watch may report it
+// only seconds later. It must take effect. An endpoint that the replaced watch adds, and its failure, must not.
+func TestDrainOfReplacedWatchTakesEffect(t *testing.T) {
+	h := start(t, 0, "a", "b")
+	replaced := h.watch
+	h.Watch(8, 0, func(update engine.EndpointUpdate) { h.updates <- update })
+	h.watch = testutil.Receive(t, h.platform.watches, "the next watch of the platform")
+	replaced.notify(engine.EndpointUpdate{Kind: balancer.Delta, Version: 9, Endpoints: endpoints("-a", "x")})
+	replaced.notify(engine.EndpointUpdate{Kind: balancer.WatchFailed, Version: 9})
+	h.sendPlatformUpdate(balancer.Delta, 10, "c")
+	drain := testutil.Receive(t, h.updates, "the drain")
+	if drain.Kind != balancer.OutOfBand || len(drain.Endpoints) != 1 || drain.Endpoints[0].ID != "a" ||
+		drain.Endpoints[0].State == balancer.Active {
+		t.Errorf("the engine received %+v, want only that a is draining", drain)
+	}
+	next := testutil.Receive(t, h.updates, "the update of the next watch")
+	if next.Kind != balancer.Delta || len(next.Endpoints) != 1 || next.Endpoints[0].ID != "c" {
+		t.Errorf("the engine received %+v, want the new endpoint c", next)
+	}
+}
