Soak of large lists: random updates, resets, signals, stalls and a crowd

At the end clients open connections for 0.4 s after SIGTERM and send on open ones until SIGKILL at 3.7 s. Checked: requests to draining endpoints 0.3 s after the notification, lost requests, requests that ran twice.

In a first version clients went on connecting for as long as the listener was open: one request on a connection that was never accepted (no line in the trace) was reset when the listener closed, 0.6 s or more after SIGTERM.

--- a/cmd/hazelwing/cpuquota_test.go
+++ b/cmd/hazelwing/cpuquota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,30 +28,44 @@
 	return time.Duration(t.Nano()), err
 }
 
-// limitProcessor limits a process to a share of a core, until ctx ends. In each quotaPeriod, the process is stopped
-// once it has used its share of the period, and continued at the end of the period.
-func limitProcessor(ctx context.Context, process *os.Process, share float64) {
-	quota := time.Duration(share * float64(quotaPeriod))
-	signal := func(s syscall.Signal) { _ = process.Signal(s) } // the process may have ended
+// processorLimit limits a process to a share of a core, and stalls it.
+type processorLimit struct {
+	process *os.Process
+	share   float64
+	stall   atomic.Int64 // duration of a stall that is due, in nanoseconds
+}
+
+// run applies the limit until ctx ends. In each quotaPeriod, the process is stopped once it has used its share of the
+// period, and continued at the end of the period.
+func (l *processorLimit) run(ctx context.Context) {
+	signal := func(s syscall.Signal) { _ = l.process.Signal(s) } // the process may have ended
 	defer signal(syscall.SIGCONT)
 	for ctx.Err() == nil {
-		periodEnd := time.Now().Add(quotaPeriod)
-		start, err := processorTime(process.Pid)
-		if err != nil {
-			return
+		if d := time.Duration(l.stall.Swap(0)); d > 0 {
+			signal(syscall.SIGSTOP)
+			time.Sleep(d)
+			signal(syscall.SIGCONT)
 		}
-		for time.Now().Before(periodEnd) {
-			used, err := processorTime(process.Pid)
-			if err != nil {
-				return
-			}
-			if used-start >= quota {
-				signal(syscall.SIGSTOP)
-				break
-			}
-			time.Sleep(quotaCheckInterval)
+		periodEnd := time.Now().Add(quotaPeriod)
+		if l.usesQuota(periodEnd) {
+			signal(syscall.SIGSTOP)
 		}
 		time.Sleep(time.Until(periodEnd))
 		signal(syscall.SIGCONT)
 	}
 }
+
+// usesQuota waits until the process has used its share of a period, or until the period or the process has ended. It
+// reports whether the process has used its share.
+func (l *processorLimit) usesQuota(periodEnd time.Time) bool {
+	quota := time.Duration(l.share * float64(quotaPeriod))
+	start, err := processorTime(l.process.Pid)
+	for err == nil && time.Now().Before(periodEnd) {
+		var used time.Duration
+		if used, err = processorTime(l.process.Pid); used-start >= quota {
+			return err == nil
+		}
+		time.Sleep(quotaCheckInterval)
+	}
+	return false
+}
--- a/cmd/hazelwing/largelist_test.go
+++ b/cmd/hazelwing/largelist_test.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +29,7 @@
 	largeListSeed = flag.Uint64("largelist.seed", 1, "seed of TestDrainsInLargeListsTakeEffectInTime")
 	largeListRuns = flag.Int("largelist.runs", 1,
 		"number of runs of TestDrainsInLargeListsTakeEffectInTime for each case")
+	largeListTrace = flag.Bool("largelist.trace", false, "run the sidecars of the tests of large lists with --trace")
 )
 
 const (
@@ -48,11 +52,24 @@
 	indexes     map[string]int // by address
 	lastRequest []atomic.Int64 // Unix nanoseconds
 	requests    atomic.Int64
+
+	mu       sync.Mutex
+	unsafe   map[string]int // number of runs of each request that must not run twice, by request ID
+	hanging  map[int]bool   // servers that respond only after hangTime
+	repeated []string       // IDs of requests that ran more often than they may
 }
 
+// hangTime is the response time of a hanging server.
+const hangTime = 2 * time.Second
+
 func startCountedServers(t *testing.T, n int) *countedServers {
 	t.Helper()
-	s := &countedServers{indexes: map[string]int{}, lastRequest: make([]atomic.Int64, n)}
+	s := &countedServers{
+		indexes:     map[string]int{},
+		lastRequest: make([]atomic.Int64, n),
+		unsafe:      map[string]int{},
+		hanging:     map[int]bool{},
+	}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	t.Cleanup(func() { _ = s.server.Close() })
 	for i := range n {
@@ -68,15 +85,31 @@
 	return s
 }
 
-// ServeHTTP records a request and responds at once.
+// ServeHTTP records a request and responds.
 func (s *countedServers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	addr := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
-	s.lastRequest[s.indexes[addr]].Store(time.Now().UnixNano())
+	index := s.indexes[addr]
+	s.lastRequest[index].Store(time.Now().UnixNano())
 	s.requests.Add(1)
 	_, _ = io.Copy(io.Discard, r.Body)
+	if s.begin(index, r) {
+		time.Sleep(hangTime)
+	}
 	_, _ = io.WriteString(w, "ok")
 }
 
+// begin counts the run of a request, and reports whether the server hangs.
+func (s *countedServers) begin(index int, r *http.Request) (hangs bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id := r.Header.Get("X-Request-Id"); r.Method == http.MethodPost {
+		if s.unsafe[id]++; s.unsafe[id] > 1 {
+			s.repeated = append(s.repeated, id)
+		}
+	}
+	return s.hanging[index]
+}
+
 // entry returns the entry of server i in an endpoint list.
 func (s *countedServers) entry(i int, health string, startedAt time.Time) emulator.Endpoint {
 	e := emulator.Endpoint{
@@ -179,10 +212,7 @@
 		if i > 0 {
 			time.Sleep(pieceInterval)
 		}
-		if _, err := s.w.Write(text[len(text)*i/parts : len(text)*(i+1)/parts]); err != nil {
-			t.Fatal(err)
-		}
-		if err := http.NewResponseController(s.w).Flush(); err != nil {
+		if err := s.tryWrite(text[len(text)*i/parts : len(text)*(i+1)/parts]); err != nil {
 			t.Fatal(err)
 		}
 		writtenAt = append(writtenAt, time.Now())
@@ -219,16 +249,48 @@
 	discovery *scriptedDiscovery
 	addr      string
 	log       *logBuffer
+	process   *os.Process
+	limit     *processorLimit
+	stop      func()       // stops the clients and the limit
+	dialUntil atomic.Int64 // time after which clients open no new connections, in Unix nanoseconds; 0: no limit
+	lost      atomic.Int64
+	answered  atomic.Int64
 }
 
-func startLargeListSidecar(t *testing.T, size int) *largeListSidecar {
+// largeListLoad is the size of the list, and the load and the share of a core of its sidecar.
+type largeListLoad struct {
+	size  int
+	share float64
+	rate  int // requests per second
+}
+
+func startLargeListSidecar(t *testing.T, load largeListLoad) *largeListSidecar {
 	t.Helper()
 	s := &largeListSidecar{
-		servers:   startCountedServers(t, size),
+		servers:   startCountedServers(t, load.size),
 		discovery: startScriptedDiscovery(t),
 		log:       new(logBuffer),
 	}
-	hosts := s.servers.entries(size)
+	args := []string{"run"}
+	if *largeListTrace {
+		args = append(args, "--trace")
+	}
+	cmd := exec.CommandContext(context.WithoutCancel(t.Context()), os.Args[0], args...) // startDaemon ends the process
+	s.addr = startDaemon(t, cmd, s.platformConfig(t, load), s.log)
+	s.process = cmd.Process
+	s.limit = &processorLimit{process: cmd.Process, share: load.share}
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	s.stop = sync.OnceFunc(func() { stop(); running.Wait() })
+	t.Cleanup(s.stop)
+	running.Go(func() { s.limit.run(ctx) })
+	running.Go(func() { s.sendRequests(ctx, load.rate) })
+	return s
+}
+
+// platformConfig returns the platform's configuration of the sidecar, which has the list of all servers.
+func (s *largeListSidecar) platformConfig(t *testing.T, load largeListLoad) string {
+	t.Helper()
 	traffic := &emulator.Traffic{TrafficHeader: emulator.TrafficHeader{Classes: trafficClasses}}
 	text, err := emulator.PlatformConfig(traffic, "", s.discovery.addr, "7")
 	if err != nil {
@@ -241,27 +303,20 @@
 	settings := platform["settings"].(map[string]any)
 	settings["Balancers"] = 300
 	settings["Prices"] = map[string]any{"CrossZone": 0.12}
-	platform["limits"] = map[string]any{"cores": processorShare, "memory_mb": 64, "sockets": 512}
-	platform["known"] = map[string]any{"seq": 1, "whole": true, "hosts": hosts}
+	platform["limits"] = map[string]any{"cores": load.share, "memory_mb": 64, "sockets": 512}
+	platform["known"] = map[string]any{"seq": 1, "whole": true, "hosts": s.servers.entries(load.size)}
 	if text, err = json.Marshal(platform); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.CommandContext(context.WithoutCancel(t.Context()), os.Args[0]) // startDaemon ends the process
-	s.addr = startDaemon(t, cmd, string(text), s.log)
-	ctx, stop := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	t.Cleanup(func() { stop(); running.Wait() })
-	running.Go(func() { limitProcessor(ctx, cmd.Process, processorShare) })
-	running.Go(func() { s.sendRequests(ctx) })
-	return s
+	return string(text)
 }
 
-// sendRequests sends requests at a constant rate until ctx ends.
-func (s *largeListSidecar) sendRequests(ctx context.Context) {
-	transport := &http.Transport{MaxIdleConnsPerHost: largeListRate}
+// sendRequests sends requests at a constant rate until ctx ends, every fourth of a class that must not run twice.
+func (s *largeListSidecar) sendRequests(ctx context.Context, rate int) {
+	transport := &http.Transport{MaxIdleConnsPerHost: rate, DialContext: s.dial}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
-	ticker := time.NewTicker(time.Second / largeListRate)
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	var requests sync.WaitGroup
 	defer requests.Wait()
@@ -271,21 +326,50 @@
 			return
 		case <-ticker.C:
 		}
-		requests.Go(func() {
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.addr+"/look/x", nil)
-			if err != nil {
-				return
-			}
-			req.Header.Set("X-Request-Id", fmt.Sprintf("%016x", i))
-			req.Header.Set("X-Class", "look")
-			req.Header.Set("X-Deadline-Ms", "4000")
-			resp, err := client.Do(req)
-			if err != nil { // the test has ended
-				return
-			}
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-		})
+		requests.Go(func() { s.sendRequest(ctx, client, i) })
+	}
+}
+
+// dial connects to the sidecar, unless the platform routes new connections elsewhere.
+func (s *largeListSidecar) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if until := s.dialUntil.Load(); until != 0 && time.Now().UnixNano() > until {
+		return nil, syscall.ECONNREFUSED
+	}
+	return new(net.Dialer).DialContext(ctx, network, addr)
+}
+
+// unsafeShare is the share of requests that must not run twice: one in so many.
+const unsafeShare = 4
+
+// sendRequest sends a request and records whether it was answered. A request whose connection was refused was not
+// accepted. One that must not run twice is not sent again if the daemon closed its reused connection meanwhile, since
+// the daemon may have read it.
+func (s *largeListSidecar) sendRequest(ctx context.Context, client *http.Client, number int) {
+	method, class := http.MethodGet, "look"
+	if number%unsafeShare == 0 {
+		method, class = http.MethodPost, "book"
+	}
+	reused := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused },
+	})
+	req, err := http.NewRequestWithContext(traced, method, "http://"+s.addr+"/"+class+"/x", nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set("X-Request-Id", fmt.Sprintf("%016x", number))
+	req.Header.Set("X-Class", class)
+	req.Header.Set("X-Deadline-Ms", "4000")
+	resp, err := client.Do(req)
+	switch {
+	case err == nil:
+		s.answered.Add(1)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	case ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) && (method == http.MethodGet || !reused):
+		s.lost.Add(1)
+		_, _ = fmt.Fprintf(s.log, "%s client: request %016x lost, connection reused: %v: %v\n",
+			time.Now().UTC().Format(time.RFC3339Nano), number, reused, err)
 	}
 }
 
@@ -305,7 +389,7 @@
 // while an eighth of all start.
 func runDrainScript(t *testing.T, script drainScript, rng *rand.Rand) {
 	t.Helper()
-	s := startLargeListSidecar(t, largeListSize)
+	s := startLargeListSidecar(t, largeListLoad{size: largeListSize, share: processorShare, rate: largeListRate})
 	watch := testutil.Receive(t, s.discovery.watches, "a watch")
 	entries := s.servers.entries(largeListSize * 7 / 8)
 	watch.write(t, listText(t, 2, true, false, entries))
