Wait for a list as long as its entries arrive, for up to five seconds

The client abandoned a call 2.5 s after its start, and an event that had not arrived 2.5 s after the one before it, whatever had arrived of it, and asked for the same list again; the drains in its rest stayed unknown.

Change: entries that arrive count as a sign of life (silence.entriesArrived), for the open watch, its first event and the complete list beside it. The total is limited to two time-outs, 5 s, from the event before or the start of the call, so that entries which never end are noticed within the 6 s after which a change counts as notified.

--- a/cmd/hazelwing/largelist_test.go
+++ b/cmd/hazelwing/largelist_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -124,9 +125,10 @@
 // drainScript is a case of TestDrainsInLargeListsTakeEffectInTime: how discovery notifies the sidecar of drains.
 type drainScript struct {
 	name     string
-	complete bool // the update is the complete list
-	outage   bool // the update is the first response after an outage
-	pieces   int  // number of parts of the update, written pieceInterval apart
+	complete bool          // the update is the complete list
+	outage   bool          // the update is the first response after an outage
+	pieces   int           // number of parts of the update
+	interval time.Duration // time between two parts; 0 means pieceInterval
 	indented bool
 	// cut resets the connection after half of the parts. Discovery then rejects calls for rejectionPeriod.
 	cut bool
@@ -150,6 +152,10 @@
 	{name: "indented complete list after an outage", pieces: 1, complete: true, outage: true, indented: true},
 	{name: "delta in parts", pieces: 25},
 	{name: "complete list in parts after an outage", pieces: 25, complete: true, outage: true},
+	{
+		name:   "complete list slowly after an outage",
+		pieces: 20, interval: 5 * pieceInterval, complete: true, outage: true,
+	},
 	{name: "delta cut off", pieces: 2, cut: true},
 	{name: "complete list cut off after an outage", pieces: 2, complete: true, outage: true, cut: true},
 }
@@ -202,15 +208,17 @@
 // write writes text.
 func (s *scriptedWatch) write(t *testing.T, text []byte) {
 	t.Helper()
-	s.writeParts(t, text, 1, 1)
+	s.writeParts(t, text, 1, 1, 0)
 }
 
 // writeParts writes the first n of a number of parts of text, and returns when each was written.
-func (s *scriptedWatch) writeParts(t *testing.T, text []byte, parts, n int) (writtenAt []time.Time) {
+func (s *scriptedWatch) writeParts(
+	t *testing.T, text []byte, parts, n int, interval time.Duration,
+) (writtenAt []time.Time) {
 	t.Helper()
 	for i := range n {
 		if i > 0 {
-			time.Sleep(pieceInterval)
+			time.Sleep(interval)
 		}
 		if err := s.tryWrite(text[len(text)*i/parts : len(text)*(i+1)/parts]); err != nil {
 			t.Fatal(err)
@@ -413,7 +421,7 @@
 	if script.cut {
 		parts = script.pieces / 2
 	}
-	writtenAt := watch.writeParts(t, text, script.pieces, parts)
+	writtenAt := watch.writeParts(t, text, script.pieces, parts, cmp.Or(script.interval, pieceInterval))
 	if script.cut {
 		s.discovery.outage.Store(true)
 		time.Sleep(pieceInterval) // a reset may overtake data that the sidecar has not read
--- a/cmd/hazelwing/largelistsoak_test.go
+++ b/cmd/hazelwing/largelistsoak_test.go
@@ -234,7 +234,7 @@
 	text := listText(s.t, s.version, complete, s.rng.IntN(4) == 0, list)
 	parts, interval := 1, time.Duration(0)
 	if s.rng.IntN(2) == 0 {
-		parts, interval = 2+s.rng.IntN(18), s.milliseconds(2, 60)
+		parts, interval = 2+s.rng.IntN(18), s.milliseconds(2, []int{60, 200}[s.rng.IntN(2)])
 	}
 	end := len(text)
 	if s.version > 1 && s.rng.IntN(4) == 0 {
--- a/internal/daemon/drainnotice_test.go
+++ b/internal/daemon/drainnotice_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// endlessEntries sends an event that lists the second server again and again.
+func endlessEntries(w http.ResponseWriter, r *http.Request) {
+	send(w, `{"seq":6,"whole":false,"hosts":[{"host":"n1","health":"SERVING"}`)
+	for r.Context().Err() == nil {
+		w.(http.Flusher).Flush()
+		time.Sleep(100 * time.Millisecond)
+		send(w, `,{"host":"n1","health":"SERVING"}`)
+	}
+}
+
 // hang keeps a call open and sends nothing.
 func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
@@ -146,6 +156,23 @@
 		endWatch:  after(2200*time.Millisecond, respond(`{"seq":6,"who`, hang)),
 		worstCase: 3700 * ms,
 	},
+	{
+		name:      "entries that never end on the open watch",
+		endWatch:  endlessEntries,
+		worstCase: 5250 * ms,
+	},
+	{
+		name:      "entries that never end",
+		calls:     []callHandler{endlessEntries},
+		worstCase: 5250 * ms,
+	},
+	{
+		name:            "complete list with entries that never end",
+		moved:           true,
+		viaCompleteList: true,
+		calls:           []callHandler{endlessEntries},
+		worstCase:       5500 * ms,
+	},
 	{name: "only one line", calls: repeat(1, respond("\n", hang)), worstCase: 5500 * ms, alsoPushed: true},
 	{
 		name:      "connection refused, then rejected after 1 s, twice",
--- a/internal/discovery/watch/client.go
+++ b/internal/discovery/watch/client.go
@@ -126,13 +126,13 @@
 // openStream opens a watch and reads its first event. eventsLost reports whether the call has delivered data that could
 // not be read. onPartial receives the entries of events that are not complete; see eventReader.
 func (c *Client) openStream(
-	ctx context.Context, version int64, onPartial func(engine.EndpointUpdate),
+	ctx context.Context, version int64, silence *silence, onPartial func(engine.EndpointUpdate),
 ) (s *stream, eventsLost bool, err error) {
 	resp, err := c.get(ctx, "?watch=1&from="+strconv.FormatInt(max(version, 0), 10))
 	if err != nil {
 		return nil, false, err
 	}
-	events := newEventReader(resp.Body, c.log, onPartial)
+	events := newEventReader(resp.Body, c.log, silence, onPartial)
 	first := events.next()
 	if first.err != nil {
 		closeBody(resp)
@@ -183,16 +183,16 @@
 
 // fetchList requests the complete list, with a hedged request.
 //
-// Each call is abandoned after silenceTimeout, whatever data it has received. This prevents a response that never ends
-// from blocking the request for as long as the watch is open: the list would remain incomplete, and would not be
-// requested again.
+// Each call is abandoned after silenceTimeout, or after maxEventTimeouts of them if entries of the list keep arriving.
+// This prevents a response that never ends from blocking the request for as long as the watch is open: the list would
+// remain incomplete, and would not be requested again.
 //
 // onPartial receives the entries of responses that are not complete; see eventReader.
 func (c *Client) fetchList(
 	ctx context.Context, onPartial func(engine.EndpointUpdate),
 ) (engine.EndpointUpdate, error) {
-	fetch := func(ctx context.Context) (engine.EndpointUpdate, error) {
-		return c.fetchListOnce(ctx, onPartial)
+	fetch := func(ctx context.Context, silence *silence) (engine.EndpointUpdate, error) {
+		return c.fetchListOnce(ctx, silence, onPartial)
 	}
 	attempt, _, err := hedge(ctx, c.silenceTimeout, c.hedge, fetch)
 	if err != nil {
@@ -204,14 +204,14 @@
 
 // fetchListOnce makes one request for the complete list.
 func (c *Client) fetchListOnce(
-	ctx context.Context, onPartial func(engine.EndpointUpdate),
+	ctx context.Context, silence *silence, onPartial func(engine.EndpointUpdate),
 ) (engine.EndpointUpdate, error) {
 	resp, err := c.get(ctx, "")
 	if err != nil {
 		return engine.EndpointUpdate{}, err
 	}
 	defer closeBody(resp)
-	events := newEventReader(resp.Body, c.log, onPartial)
+	events := newEventReader(resp.Body, c.log, silence, onPartial)
 	for {
 		event := events.next()
 		switch {
--- a/internal/discovery/watch/eventreader.go
+++ b/internal/discovery/watch/eventreader.go
@@ -16,6 +16,7 @@
 type eventReader struct {
 	objects *objectReader
 	log     *slog.Logger
+	silence *silence // of the call
 	// onPartial receives the entries that have arrived of an event which is not complete. Its updates have the fields
 	// Partial, Version and ArrivedAt set; Version is 0 if the version comes after the list.
 	onPartial func(engine.EndpointUpdate)
@@ -23,8 +24,11 @@
 	endpoints []engine.Endpoint // entries of the present event that were passed to onPartial
 }
 
-func newEventReader(body io.Reader, log *slog.Logger, onPartial func(engine.EndpointUpdate)) *eventReader {
-	r := &eventReader{objects: newObjectReader(body), log: log, onPartial: onPartial}
+func newEventReader(
+	body io.Reader, log *slog.Logger, silence *silence, onPartial func(engine.EndpointUpdate),
+) *eventReader {
+	r := &eventReader{objects: newObjectReader(body), log: log, silence: silence, onPartial: onPartial}
+	r.objects.onBegin = silence.eventBegan
 	r.objects.onEntries = r.decodePart
 	return r
 }
@@ -54,6 +58,7 @@
 	}
 	endpoints := r.toEndpoints(&part)
 	r.endpoints = append(r.endpoints, endpoints...)
+	r.silence.entriesArrived()
 	r.onPartial(engine.EndpointUpdate{
 		Kind:      balancer.OutOfBand,
 		Partial:   true,
--- a/internal/discovery/watch/eventreader_test.go
+++ b/internal/discovery/watch/eventreader_test.go
@@ -12,12 +12,16 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"hazelwing/balancer"
 	"hazelwing/internal/engine"
 	"hazelwing/internal/testutil"
 )
 
+// noSilence returns the silence of a call that is not abandoned in the time of a test.
+func noSilence() *silence { return newSilence(time.Hour, time.NewTimer(time.Hour)) }
+
 // readParts reads one event that arrives in the given parts. It returns the event and the entries that were passed on
 // before it was complete.
 func readParts(parts ...string) (streamEvent, []engine.EndpointUpdate) {
@@ -26,7 +30,7 @@
 	for _, part := range parts {
 		readers = append(readers, strings.NewReader(part))
 	}
-	reader := newEventReader(io.MultiReader(readers...), slog.New(slog.DiscardHandler),
+	reader := newEventReader(io.MultiReader(readers...), slog.New(slog.DiscardHandler), noSilence(),
 		func(update engine.EndpointUpdate) { partial = append(partial, update) })
 	return reader.next(), partial
 }
@@ -105,7 +109,8 @@
 		"end":         strings.NewReader(""),
 	} {
 		var partial []engine.EndpointUpdate
-		reader := newEventReader(io.MultiReader(strings.NewReader(drained), rest), slog.New(slog.DiscardHandler),
+		body := io.MultiReader(strings.NewReader(drained), rest)
+		reader := newEventReader(body, slog.New(slog.DiscardHandler), noSilence(),
 			func(update engine.EndpointUpdate) { partial = append(partial, update) })
 		event := reader.next()
 		if event.err == nil {
--- a/internal/discovery/watch/session.go
+++ b/internal/discovery/watch/session.go
@@ -23,8 +23,6 @@
 	deliverMu sync.Mutex // held during each call of deliver, because several goroutines deliver partial updates
 	deliver   func(engine.EndpointUpdate)
 
-	silence *silence // of the open watch
-
 	// reached and eventsLost are atomic because the attempts to open the watch set them, each in its own goroutine.
 	reached    atomic.Bool // a failed attempt has reached the service
 	eventsLost atomic.Bool // events may be lost: data could not be read, or the complete list was not obtained
@@ -63,8 +61,8 @@
 
 // run opens the watch and follows it until it fails.
 func (s *session) run(ctx context.Context, version int64) error {
-	open := func(ctx context.Context) (*stream, error) {
-		return s.open(ctx, version)
+	open := func(ctx context.Context, silence *silence) (*stream, error) {
+		return s.open(ctx, version, silence)
 	}
 	attempt, attemptCtx, err := hedge(ctx, s.client.silenceTimeout, s.client.hedge, open)
 	if err != nil {
@@ -76,8 +74,8 @@
 }
 
 // open makes one attempt to open the watch.
-func (s *session) open(ctx context.Context, version int64) (*stream, error) {
-	opened, eventsLost, err := s.client.openStream(ctx, version, s.deliver)
+func (s *session) open(ctx context.Context, version int64, silence *silence) (*stream, error) {
+	opened, eventsLost, err := s.client.openStream(ctx, version, silence, s.deliver)
 	if err != nil && reachedService(err) {
 		s.reached.Store(true)
 	}
@@ -90,8 +88,7 @@
 // follow delivers the updates of the watch and of the requests for the complete list until the watch fails, and returns
 // the error. The goroutines that it starts end when the caller cancels ctx.
 func (s *session) follow(ctx context.Context, watch *attempt[*stream]) error {
-	s.silence = newSilence(s.client.silenceTimeout, watch.timeout)
-	watch.value.events.objects.onBegin = s.silence.eventBegan
+	watch.silence.eventArrived()
 	events := make(chan streamEvent)
 	lists := make(chan listResult, 1) // buffered, so that the goroutine of a request never blocks
 	go s.client.readEvents(ctx, watch.value, events)
@@ -120,7 +117,7 @@
 		s.eventsLost.Store(watch.value.events.objects.partial.Load())
 		return nil, context.Cause(ctx)
 	case event := <-events:
-		s.silence.eventArrived()
+		watch.silence.eventArrived()
 		if event.err != nil {
 			s.eventsLost.Store(errors.Is(event.err, errMalformedEvent))
 			return nil, causeOf(ctx, event.err)
