Test large lists that an agent pushes, too

Deployments whose agent pushes it take the same path, with other waits (calls again after 0.1 s, first calls wait for the list).

--- a/cmd/hazelwing/largelist_test.go
+++ b/cmd/hazelwing/largelist_test.go
@@ -38,6 +38,7 @@
 	pieces   int           // number of parts of the update
 	interval time.Duration // time between two parts; 0 means pieceInterval
 	indented bool
+	pushed   bool // an agent on the sidecar's machine pushes the list
 	// cut resets the connection after half of the parts. Discovery then rejects calls for rejectionPeriod.
 	cut bool
 }
@@ -66,6 +67,8 @@
 	},
 	{name: "delta cut off", pieces: 2, cut: true},
 	{name: "complete list cut off after an outage", pieces: 2, complete: true, outage: true, cut: true},
+	{name: "pushed delta cut off", pieces: 2, cut: true, pushed: true},
+	{name: "pushed complete list in parts after an outage", pieces: 25, complete: true, outage: true, pushed: true},
 }
 
 // Drains in a list of thousands of endpoints took effect only after the grace period, because the sidecar sent requests
@@ -84,7 +87,9 @@
 // while an eighth of all start.
 func runDrainScript(t *testing.T, script drainScript, rng *rand.Rand) {
 	t.Helper()
-	s := startLargeListSidecar(t, largeListLoad{size: largeListSize, share: processorShare, rate: largeListRate})
+	s := startLargeListSidecar(t, largeListLoad{
+		size: largeListSize, share: processorShare, rate: largeListRate, pushed: script.pushed,
+	})
 	watch := testutil.Receive(t, s.discovery.watches, "a watch")
 	entries := s.servers.entries(largeListSize * 7 / 8)
 	watch.write(t, listText(t, 2, true, false, entries))
--- a/cmd/hazelwing/largelistsidecar_test.go
+++ b/cmd/hazelwing/largelistsidecar_test.go
@@ -40,6 +40,8 @@
 	size  int
 	share float64
 	rate  int // requests per second
+	// pushed means that an agent on the sidecar's machine pushes the list; otherwise, discovery is asked.
+	pushed bool
 }
 
 func startLargeListSidecar(t *testing.T, load largeListLoad) *largeListSidecar {
@@ -80,6 +82,9 @@
 	}
 	settings := platform["settings"].(map[string]any)
 	settings["Balancers"] = 300
+	if load.pushed {
+		settings["Discovery"] = "push"
+	}
 	settings["Prices"] = map[string]any{"CrossZone": 0.12}
 	platform["limits"] = map[string]any{"cores": load.share, "memory_mb": 64, "sockets": 512}
 	platform["known"] = map[string]any{"seq": 1, "whole": true, "hosts": s.servers.entries(load.size)}
--- a/cmd/hazelwing/largelistsoak_test.go
+++ b/cmd/hazelwing/largelistsoak_test.go
@@ -31,6 +31,8 @@
 	// dialPeriod is the time after SIGTERM for which the platform routes new connections to the sidecar.
 	dialPeriod = 400 * time.Millisecond
 	maxSignals = 3
+	// pushedShare is the share of seeds whose list is pushed: one in so many.
+	pushedShare = 3
 )
 
 // listSoak is a run of one seed: discovery changes the list in random ways and fails, signals arrive, the process
@@ -59,9 +61,10 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	load := largeListLoad{
-		size:  []int{100, 800, largeListSize}[rng.IntN(3)],
-		share: processorShare + 0.1*float64(rng.IntN(3)),
-		rate:  30 + rng.IntN(90),
+		size:   []int{100, 800, largeListSize}[rng.IntN(3)],
+		share:  processorShare + 0.1*float64(rng.IntN(3)),
+		rate:   30 + rng.IntN(90),
+		pushed: seed%pushedShare == 0,
 	}
 	s := &listSoak{
 		t: t, rng: rng, version: 1, sidecar: startLargeListSidecar(t, load),
