--- a/cmd/hazelwing/largelistsoak_test.go
+++ b/cmd/hazelwing/largelistsoak_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -342,11 +341,3 @@
 		s.t.Error("no request was answered, or no server drained, so that the run shows nothing")
 	}
 }
-
-// tryWrite writes text. It returns an error if the client has disconnected.
-func (s *scriptedWatch) tryWrite(text []byte) error {
-	if _, err := s.w.Write(text); err != nil {
-		return err
-	}
-	return http.NewResponseController(s.w).Flush()
-}
--- a/cmd/hazelwing/scripteddiscovery_test.go
+++ b/cmd/hazelwing/scripteddiscovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,10 +21,20 @@
 
 // scriptedWatch is an open watch.
 type scriptedWatch struct {
-	w     http.ResponseWriter
-	ended chan struct{} // closed by the test to reset the connection
+	writes chan scriptedWrite
+	ended  chan struct{} // closed by the test to reset the connection
+	done   chan struct{} // closed when the call has ended
 }
 
+// scriptedWrite is text to write to a watch. The result of the write is sent to result.
+type scriptedWrite struct {
+	text   []byte
+	result chan error
+}
+
+// errWatchEnded is returned for a write to a watch that has ended.
+var errWatchEnded = errors.New("the watch has ended")
+
 func startScriptedDiscovery(t *testing.T) *scriptedDiscovery {
 	t.Helper()
 	d := &scriptedDiscovery{watches: make(chan *scriptedWatch)}
@@ -43,16 +54,39 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	watch := &scriptedWatch{w: w, ended: make(chan struct{})}
+	watch := &scriptedWatch{
+		writes: make(chan scriptedWrite), ended: make(chan struct{}), done: make(chan struct{}),
+	}
+	defer close(watch.done)
 	select {
 	case d.watches <- watch:
 	case <-r.Context().Done():
 		return
 	}
+	for {
+		select {
+		case write := <-watch.writes:
+			_, err := w.Write(write.text)
+			if err == nil {
+				err = http.NewResponseController(w).Flush()
+			}
+			write.result <- err
+		case <-watch.ended:
+			panic(http.ErrAbortHandler) // resets the connection
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// tryWrite writes text. It returns an error if the client has disconnected.
+func (s *scriptedWatch) tryWrite(text []byte) error {
+	write := scriptedWrite{text, make(chan error, 1)}
 	select {
-	case <-watch.ended:
-		panic(http.ErrAbortHandler) // resets the connection
-	case <-r.Context().Done():
+	case s.writes <- write:
+		return <-write.result
+	case <-s.done:
+		return errWatchEnded
 	}
 }
 
