Reject an event in parts that has its list of entries twice

An event that arrives in parts and has the key of its list twice, the second list empty or null, ended the sidecar: decode removes the placeholder of the entries that were taken, and there was none (slice bounds out of range). With a second list that is not empty an entry was lost.

Change: if the first entry is not the placeholder, the event is malformed, so that the next watch starts from the complete list. The entries that had arrived stay applied.

--- a/internal/discovery/watch/errors.go
+++ b/internal/discovery/watch/errors.go
@@ -14,6 +14,8 @@
 	// errMalformedEvent is returned for data that is not an event of a watch. The next watch starts from the complete
 	// list, because the service would send the same data again.
 	errMalformedEvent = errors.New("malformed watch event")
+	// errSecondList is returned for an event in parts that has its list of entries twice.
+	errSecondList = errors.New("the event has two lists of entries")
 	// errWatchEnded is the reason for the failure of a watch that the service ended between two events.
 	errWatchEnded = errors.New("the service ended the watch")
 	// errNotComplete is returned if the response to a request for the complete list is a delta.
--- a/internal/discovery/watch/eventreader.go
+++ b/internal/discovery/watch/eventreader.go
@@ -77,6 +77,9 @@
 		return engine.EndpointUpdate{}, err
 	}
 	if len(r.endpoints) > 0 {
+		if len(event.Endpoints) == 0 || event.Endpoints[0] != (Endpoint{}) {
+			return engine.EndpointUpdate{}, errSecondList
+		}
 		event.Endpoints = event.Endpoints[1:] // takenEntries
 	}
 	update := engine.EndpointUpdate{
--- a/internal/discovery/watch/eventreader_test.go
+++ b/internal/discovery/watch/eventreader_test.go
@@ -145,3 +145,15 @@
 		}
 	}
 }
+
+// An event that arrives in parts and has its list twice ended the process, or lost an entry. It must be malformed.
+func TestSecondListInPartsIsMalformed(t *testing.T) {
+	const begin = `{"seq":43,"whole":true,"hosts":[{"host":"a","health":"SERVING"},`
+	for _, second := range []string{`[]`, `null`, `[{"host":"c","health":"SERVING"}]`} {
+		event, partial := readParts(begin, `{"host":"b","health":"SERVING"}],"Hosts":`+second+`}`)
+		if !errors.Is(event.err, errMalformedEvent) || len(partial) != 1 {
+			t.Errorf("second list %s: got %+v and %d partial updates, want errMalformedEvent and 1",
+				second, event, len(partial))
+		}
+	}
+}
