--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -49,8 +49,6 @@
 		checkOnce(lines)
 	case "own":
 		checkOwn(lines)
-	case "nolength":
-		checkNoLength(lines)
 	default:
 		fail("unknown check " + flags.Arg(0))
 	}
@@ -82,58 +80,6 @@
 	}
 }
 
-var (
-	wholeLine  = regexp.MustCompile(`^the answer to id=(\S+) has no length, and is written whole$`)
-	answerLine = regexp.MustCompile(`^answer to id=(\S+) key=\S*: (\d+) (.*)$`)
-)
-
-// checkNoLength: of the answers with no length that come whole, half at least are forwarded.
-func checkNoLength(lines []line) {
-	type request struct {
-		class, by    string // by: the server that has answered without a length
-		status, text string
-	}
-	requests := map[string]*request{}
-	whole := 0
-	for _, l := range lines {
-		if m := runLine.FindStringSubmatch(l.text); m != nil && requests[m[2]] == nil {
-			requests[m[2]] = &request{class: m[1]}
-		}
-		if m := wholeLine.FindStringSubmatch(l.text); m != nil {
-			whole++
-			requests[m[1]].by = l.who
-		}
-		if m := answerLine.FindStringSubmatch(l.text); m != nil && requests[m[1]] != nil {
-			requests[m[1]].status, requests[m[1]].text = m[2], m[3]
-		}
-	}
-	forwarded, bookings, failed, others := 0, 0, 0, 0
-	for id, r := range requests {
-		switch {
-		case r.by == "" && r.status != "200":
-			others++
-		case r.by == "":
-		case r.status == "200" && r.text == r.by+" has run "+id:
-			forwarded++
-		}
-		if r.by != "" && r.class == "confirm-booking" {
-			bookings++
-			if r.status != "200" {
-				failed++
-			}
-		}
-	}
-	fmt.Printf("%d answers with no length came whole, %d of them were forwarded; of %d bookings that were answered so, "+
-		"all of which have run, %d are answered as failed; %d of the other requests are not served\n",
-		whole, forwarded, bookings, failed, others)
-	if len(requests) < 100 {
-		fail("too few requests")
-	}
-	if 2*forwarded < whole {
-		os.Exit(1)
-	}
-}
-
 var ownLine = regexp.MustCompile(`^answer to id=(\S+) key=\S*: 200 (\S+) has run (\S+)$`)
 
 // checkOwn: what a client is served with is an upstream's answer to its own request.
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -8,6 +8,7 @@
 	"flag"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,3 +116,41 @@
 		send(client, *to, class, http.MethodPost, "", key, deadline, rec)
 	}
 }
+
+// runWave sends bookings, all at once, each with an Idempotency-Key of its own, or with -repeat those whose keys a file has.
+// It writes the keys of those that got no answer to a file.
+func runWave(args []string) {
+	flags := flag.NewFlagSet("wave", flag.ExitOnError)
+	to := flags.String("to", "", "address of the sidecar")
+	file := flags.String("record", "", "file of the record")
+	n := flags.Int("n", 0, "new bookings")
+	repeat := flags.String("repeat", "", "file with the keys of the bookings to ask for again")
+	unanswered := flags.String("unanswered", "", "file for the keys of bookings without an answer")
+	_ = flags.Parse(args)
+	var keys []string
+	for range *n {
+		keys = append(keys, newID(16))
+	}
+	if *repeat != "" {
+		text, _ := os.ReadFile(*repeat) // there is none in the first round
+		keys = append(keys, strings.Fields(string(text))...)
+	}
+	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{Proxy: nil}}
+	rec := openRecord(*file, "client")
+	var mu sync.Mutex
+	var left []string
+	var open sync.WaitGroup
+	for _, key := range keys {
+		open.Go(func() {
+			if send(client, *to, "confirm-booking", http.MethodPost, "", key, 5*time.Second, rec) == 0 {
+				mu.Lock()
+				left = append(left, key)
+				mu.Unlock()
+			}
+		})
+	}
+	open.Wait()
+	if *unanswered != "" && os.WriteFile(*unanswered, []byte(strings.Join(left, "\n")), 0o600) != nil {
+		fail("cannot write " + *unanswered)
+	}
+}
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -49,6 +49,7 @@
 	zone := flags.String("zone", "upper-hill", "zone of the sidecar")
 	hosts := flags.String("hosts", "", "the list as this sidecar last had it")
 	balancers := flags.Int("balancers", 1, "number of sidecars")
+	cores := flags.Int("cores", 1, "cores that the sidecar may use")
 	_ = flags.Parse(args)
 	class := func(name, semantics string, aim, deadline, worth, late float64) object {
 		return object{
@@ -58,7 +59,7 @@
 	}
 	config := object{
 		"name": *name, "listen": *listen, "discovery": *discovery, "seed": fmt.Sprintf("%016x", os.Getpid()),
-		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits": object{"cores": *cores, "memory_mb": 192, "sockets": 1024},
 		"known":  object{"seq": 1, "whole": true, "hosts": parseHosts(*hosts)},
 		"settings": object{
 			"Balancers": *balancers, "Me": 0, "Zone": *zone, "Discovery": "ask", "Family": "mesh", "TickMs": 5,
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 		"second":    runSecond,
 		"proxy":     runProxy,
 		"load":      runLoad,
+		"wave":      runWave,
 		"effects":   runEffects,
 		"check":     check,
 	}[os.Args[1]]
