--- a/review/common.sh
+++ b/review/common.sh
@@ -21,6 +21,13 @@
     pids="$pids $pid"
 }
 
+# ended PID forgets a process that has ended and was waited for: its ID may be another's by now.
+ended() {
+    left=
+    for p in $pids; do [ "$p" = "$1" ] || left="$left $p"; done
+    pids=$left
+}
+
 # sidecar NAME LISTEN DISCOVERY starts a sidecar by the deploy file's command, with the configuration $tmp/NAME.json and,
 # if there is one, the operator's file $tmp/NAME.toml.
 sidecar() {
