--- a/review/standin2/origins.go
+++ b/review/standin2/origins.go
@@ -26,10 +26,10 @@
 	process          *process
 }
 
-// startOrigins founds and starts the origins o1, o2, ...
-func (r *run) startOrigins(n int) ([]*originProcess, error) {
+// startOrigins founds and starts the origins o1, o2, ... The origin from reaches the origin to at the address that route
+// returns.
+func (r *run) startOrigins(n int, route func(from, to *originProcess) (string, error)) ([]*originProcess, error) {
 	var origins []*originProcess
-	var peers []string
 	for i := range n {
 		addr, err := freeAddr()
 		if err != nil {
@@ -38,9 +38,16 @@
 		o := &originProcess{run: r, name: fmt.Sprintf("o%d", i+1), addr: addr}
 		o.file = filepath.Join(r.tmp, o.name+".toml")
 		origins = append(origins, o)
-		peers = append(peers, fmt.Sprintf("{name = %q, addr = %q}", o.name, o.addr))
 	}
 	for _, o := range origins {
+		var peers []string
+		for _, peer := range origins {
+			addr, err := route(o, peer)
+			if err != nil {
+				return nil, err
+			}
+			peers = append(peers, fmt.Sprintf("{name = %q, addr = %q}", peer.name, addr))
+		}
 		text := fmt.Sprintf("name = %q\nlisten = %q\ndir = %q\nfleet = %q\nepoch = 1\npeers = [%s]\n"+
 			"networks = [\"127.0.0.0/8\"]\n",
 			o.name, o.addr, filepath.Join(r.tmp, o.name), fleetName, strings.Join(peers, ", "))
@@ -57,6 +64,9 @@
 	return origins, nil
 }
 
+// directly is a route without proxies.
+func directly(_, to *originProcess) (string, error) { return to.addr, nil }
+
 func (o *originProcess) start() (err error) {
 	o.process, err = o.run.spawn(o.name, nil, "bin/hazelwing", "origin", "run", "--file", o.file)
 	return err
--- a/review/standin2/process.go
+++ b/review/standin2/process.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -167,20 +168,28 @@
 	return string(text)
 }
 
-// freeAddr returns an address of a port that is free for TCP and UDP.
+// freeAddr returns an address of a port that is free for TCP and UDP, below the ports that the system gives to outgoing
+// connections.
 func freeAddr() (string, error) {
-	for range 100 {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(10000))
+		if taken[addr] {
+			continue
+		}
+		tcp, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", err
+			continue
 		}
-		addr := tcp.Addr().String()
 		udp, err := net.ListenPacket("udp", addr)
 		_ = tcp.Close()
 		if err == nil {
 			_ = udp.Close()
+			taken[addr] = true
 			return addr, nil
 		}
 	}
 	return "", errors.New("no free port")
 }
+
+// taken are the addresses that freeAddr has returned. Only the goroutine of the case calls freeAddr.
+var taken = map[string]bool{}
--- a/review/standin2/pushcase.go
+++ b/review/standin2/pushcase.go
@@ -29,7 +29,7 @@
 	if err := d.up(); err != nil {
 		return err
 	}
-	origins, err := r.startOrigins(3)
+	origins, err := r.startOrigins(3, directly)
 	if err != nil {
 		return err
 	}
