Review: a sidecar started while its seeds are down never gets the configuration

Cause: a successful probe of an origin draws a new delay before a sidecar without peers may subscribe. Nothing of the product is changed.

--- a/review/standin2/nolengthcase.go
+++ b/review/standin2/nolengthcase.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases[8] = answersWithNoLength }
+func init() { cases[10] = answersWithNoLength }
 
 // answersWithNoLength: one answer in ten has no length, as HTTP/1.1 allows: it comes whole, and the server then closes
 // the connection (no reset). Half at least of these answers must be forwarded.
--- a/review/standin2/origins.go
+++ b/review/standin2/origins.go
@@ -153,8 +153,8 @@
 	admin   string
 }
 
-// newMembers returns the sidecars n1, n2, ... of one cluster, which are not started yet.
-func (r *run) newMembers(n int, origins []*originProcess, d *discovery, settings map[string]any) ([]*member, error) {
+// newMembers returns the sidecars n1, n2, ... of one cluster, which are not started yet. The first ones are the seeds.
+func (r *run) newMembers(n, seedCount int, origins []*originProcess, d *discovery, settings map[string]any) ([]*member, error) {
 	var members []*member
 	var seeds, originAddrs []string
 	for _, o := range origins {
@@ -178,7 +178,7 @@
 		members = append(members, m)
 	}
 	for _, m := range members {
-		m.operator += fmt.Sprintf("seeds = [%s]\n", strings.Join(seeds, ", "))
+		m.operator += fmt.Sprintf("seeds = [%s]\n", strings.Join(seeds[:seedCount], ", "))
 	}
 	return members, nil
 }
--- a/review/standin2/pushcase.go
+++ b/review/standin2/pushcase.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases[7] = refusedPush }
+func init() { cases[9] = refusedPush }
 
 // refusedPush: two of three origins are killed, a change is pushed, and since its outcome is unknown, the push is
 // repeated under its ID, as the pages say. Then the two origins are started again. A push that was refused must not
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	members, err := r.newMembers(2, origins, d, settings(2, []string{"upper-hill"}, 0, bookingClasses))
+	members, err := r.newMembers(2, 2, origins, d, settings(2, []string{"upper-hill"}, 0, bookingClasses))
 	if err != nil {
 		return err
 	}
