--- a/review/standin2/groupcase.go
+++ b/review/standin2/groupcase.go
@@ -76,7 +76,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(20 * time.Millisecond):
+			case <-time.After(10 * time.Millisecond):
 			}
 			q := request{class: "zone-check", id: fmt.Sprintf("%016x", 0x6000000+n), deadline: 800 * time.Millisecond}
 			if n%2 == 0 {
