Keep keyed repeats away from endpoints whose zone and cell are unknown

Nothing had a form for "not known": a DNS answer left zone "" and cell 0, and balancer.classState.outsideScope and idempotency.entry.hasLocationOutside compared them as if they were reported.

Change: an endpoint says whether its location is known, from the source to the balancer and the records of idempotency. Both ask IdempotencyScope.Covers, where there were two comparisons: an unknown location shares no scope but that of all endpoints. It works since a repeat then needs two known locations. A request that may have run at an unknown one fails at once, one that may have run elsewhere is not sent there. A stored record has a cell that no endpoint has; its form is as before.

Related paths: records within a run and after a restart, an endpoint that the middleware no longer knows, and addresses of a gRPC resolver had the same fault and are mended. Relayed, cached and initial lists come from discovery with zone and cell; notices only remove; the choice of the home zone is a preference.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -116,12 +116,14 @@
 
 // Endpoint is an entry of the endpoint list.
 type Endpoint struct {
-	ID        string
-	Zone      string
-	Kind      string // machine type; endpoints of one kind are assumed to be equally fast until they have answered
-	Cell      int    // endpoints with the same Cell deduplicate keyed requests of ScopeCell together
-	State     EndpointState
-	StartedAt time.Duration // clock time of the latest start; 0 if it was long ago
+	ID   string
+	Zone string
+	Kind string // machine type; endpoints of one kind are assumed to be equally fast until they have answered
+	Cell int    // endpoints with the same Cell deduplicate keyed requests of ScopeCell together
+	// LocationUnknown means that Zone and Cell are not reported, and have their zero values.
+	LocationUnknown bool
+	State           EndpointState
+	StartedAt       time.Duration // clock time of the latest start; 0 if it was long ago
 }
 
 // UpdateKind is the kind of an EndpointUpdate.
@@ -167,11 +169,19 @@
 	PriorAttempts []PriorAttempt
 }
 
+// Location is the place of an endpoint, as far as its source reports it.
+type Location struct {
+	Zone string
+	Cell int
+	// Unknown means that the source reports neither: Zone and Cell have their zero values, which must not be compared
+	// with those of other endpoints.
+	Unknown bool
+}
+
 // PriorAttempt is an attempt of an earlier request that may have run.
 type PriorAttempt struct {
-	Zone   string
-	Cell   int
-	SentAt time.Duration // clock time
+	Location Location
+	SentAt   time.Duration // clock time
 }
 
 // FirstByte reports that a streamed answer has started.
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -16,8 +16,7 @@
 // endpoint is an endpoint that is listed, or that requests still refer to.
 type endpoint struct {
 	id        string
-	zone      string
-	cell      int
+	location  Location
 	hash      uint64 // hash of id
 	listed    bool   // listed as active
 	inSubset  bool
@@ -98,8 +97,7 @@
 		ep = b.addEndpoint(entry, ep)
 	}
 	ep.listed = true
-	ep.zone = entry.Zone
-	ep.cell = entry.Cell
+	ep.location = Location{Zone: entry.Zone, Cell: entry.Cell, Unknown: entry.LocationUnknown}
 }
 
 // addEndpoint adds an endpoint for entry. The new endpoint replaces previous, the former process with the
--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -4,11 +4,12 @@
 // rejection may tell the client that a retry is harmless.
 //
 // Inputs: the class's effect, idempotency scope and window (duration); for each attempt, including attempts
-// of earlier requests with the same effect, whether it may have run, where (zone, cell) and when it was
-// sent; the tick.
+// of earlier requests with the same effect, whether it may have run, where (zone, cell, or that neither is
+// known) and when it was sent; the tick.
 //
 // Why: no effect may happen twice. Endpoints deduplicate a keyed request only within its scope and window,
-// and nothing deduplicates a request that is not idempotent.
+// and nothing deduplicates a request that is not idempotent. An endpoint whose zone and cell are unknown is
+// not known to share any scope but that of all endpoints.
 
 import (
 	"slices"
@@ -19,31 +20,42 @@
 // run.
 func (r *request) leavesScope(ep *endpoint) bool {
 	for _, a := range r.attempts {
-		if a.mayHaveRun && r.class.outsideScope(a.zone, a.cell, ep) {
+		if a.mayHaveRun && r.class.outsideScope(a.location, ep.location) {
 			return true
 		}
 	}
 	for _, a := range r.priorAttempts {
-		if r.class.outsideScope(a.Zone, a.Cell, ep) {
+		if r.class.outsideScope(a.Location, ep.location) {
 			return true
 		}
 	}
 	return false
 }
 
-// outsideScope reports whether ep is outside the idempotency scope of an attempt that was sent to an
-// endpoint in zone and cell. It returns false for classes that are not keyed.
-func (c *classState) outsideScope(zone string, cell int, ep *endpoint) bool {
-	if c.Effect != Keyed {
-		return false
+// outsideScope reports whether an endpoint at the location to may be outside the idempotency scope of an
+// attempt that was sent to the location from. It returns false for classes that are not keyed.
+func (c *classState) outsideScope(from, to Location) bool {
+	return c.Effect == Keyed && !c.IdempotencyScope.Covers(from, to)
+}
+
+// Covers reports whether endpoints at the two locations are known to deduplicate keyed requests together.
+//
+// Guard: prevents a second effect if a name service lists endpoints before their zones and cells are known.
+// Such endpoints may be in different cells, and no cell knows the keys of another. This holds because an
+// unknown location shares only the scope of all endpoints.
+func (s IdempotencyScope) Covers(a, b Location) bool {
+	switch s {
+	case ScopeZone:
+		return !a.Unknown && !b.Unknown && a.Zone == b.Zone
+	case ScopeCell:
+		return !a.Unknown && !b.Unknown && a.Cell == b.Cell
 	}
-	outsideZone := c.IdempotencyScope == ScopeZone && zone != ep.zone
-	outsideCell := c.IdempotencyScope == ScopeCell && cell != ep.cell
-	return outsideZone || outsideCell
+	return true
 }
 
 // retryForbidden reports whether no further attempt may follow, because an attempt may have run and the
-// request is not idempotent, or it is keyed and its idempotency window is over.
+// request is not idempotent, or it is keyed and its idempotency window is over or no endpoint is known to be
+// in its idempotency scope.
 //
 // Guard: prevents a second effect if a connection breaks after the request was written. The result of such
 // an attempt is Reset, which does not prove that the request did not run. mayAttempt calls retryForbidden
@@ -53,7 +65,26 @@
 	if !ok {
 		return false
 	}
-	return r.class.Effect == NonIdempotent || r.class.Effect == Keyed && b.now > b.idempotencyExpiry(r, first)
+	switch r.class.Effect {
+	case NonIdempotent:
+		return true
+	case Keyed:
+		return b.now > b.idempotencyExpiry(r, first) || r.hasUnknownScope()
+	}
+	return false
+}
+
+// hasUnknownScope reports whether no endpoint is known to be in the idempotency scope of an attempt that may
+// have run, because the location of its endpoint was unknown.
+func (r *request) hasUnknownScope() bool {
+	for _, a := range r.attempts {
+		if a.mayHaveRun && r.class.outsideScope(a.location, a.location) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.priorAttempts, func(a PriorAttempt) bool {
+		return r.class.outsideScope(a.Location, a.Location)
+	})
 }
 
 // firstPossibleRun returns when the first attempt that may have run was sent; ok is false if there is none.
--- a/balancer/idempotency_test.go
+++ b/balancer/idempotency_test.go
@@ -116,6 +116,39 @@
 	}
 }
 
+// Guards against a second run of a keyed request at endpoints whose zones and cells are not reported, as in the answer
+// of a name service: they may be in different cells, which do not know each other's keys. Unless the scope is all
+// endpoints, the request must fail at once if it may have run at such an endpoint, and must not be sent to one
+// otherwise.
+func TestKeyedIsNotRepeatedWhereTheLocationIsUnknown(t *testing.T) {
+	unknown := []Endpoint{{ID: "p", LocationUnknown: true}, {ID: "q", LocationUnknown: true}}
+	for scope, repeats := range map[IdempotencyScope]bool{ScopeAll: true, ScopeZone: false, ScopeCell: false} {
+		h := newHarness(t, keyedSettings(scope))
+		h.updateEndpoints(CompleteList, unknown...)
+		h.wantSend(h.request("1", "k", time.Second))
+		if actions := h.reportOutcome("1", 0, Reset, 10*ms); repeats {
+			h.wantSend(actions)
+		} else {
+			h.wantAnswer(actions, Fail)
+		}
+
+		// Zone "" and cell 0 are the zero values of an unknown location, and those of a known one.
+		h = newHarness(t, keyedSettings(scope))
+		h.updateEndpoints(CompleteList, Endpoint{ID: "known"})
+		h.wantSend(h.request("1", "k", time.Second))
+		h.updateEndpoints(CompleteList, unknown...)
+		if sends := actionsOfKind(h.reportOutcome("1", 0, Reset, 10*ms), Send); (len(sends) > 0) != repeats {
+			t.Errorf("scope %d: %+v after an attempt at a known location, want a repeat: %v", scope, sends, repeats)
+		}
+
+		// An attempt that never ran does not restrict the next one.
+		h = newHarness(t, keyedSettings(scope))
+		h.updateEndpoints(CompleteList, unknown...)
+		h.wantSend(h.request("1", "k", time.Second))
+		h.wantSend(h.reportOutcome("1", 0, ConnectFailed, ms))
+	}
+}
+
 // An attempt of a keyed request fails shortly before its idempotency window ends. A retry would arrive after the
 // endpoints have dropped the record, and would run the request again. The window starts when the first attempt that
 // may have run is sent. No attempt may be sent after its end.
@@ -184,56 +217,59 @@
 		"its zone": {
 			effect:    Keyed,
 			scope:     ScopeZone,
-			prior:     []PriorAttempt{{Zone: "b", SentAt: now}},
+			prior:     []PriorAttempt{{Location: Location{Zone: "b"}, SentAt: now}},
 			endpoints: "b",
 			answer:    Fail,
 		},
 		"its cell": {
 			effect:    Keyed,
 			scope:     ScopeCell,
-			prior:     []PriorAttempt{{Cell: 2, SentAt: now}},
+			prior:     []PriorAttempt{{Location: Location{Cell: 2}, SentAt: now}},
 			endpoints: "c",
 			answer:    Fail,
 		},
 		"all": {
 			effect:    Keyed,
 			scope:     ScopeAll,
-			prior:     []PriorAttempt{{Zone: "b", SentAt: now}},
+			prior:     []PriorAttempt{{Location: Location{Zone: "b"}, SentAt: now}},
 			endpoints: "abc",
 			answer:    Reject,
 		},
 		"two zones": {
-			effect:    Keyed,
-			scope:     ScopeZone,
-			prior:     []PriorAttempt{{Zone: "a", SentAt: now}, {Zone: "b", SentAt: now}},
+			effect: Keyed,
+			scope:  ScopeZone,
+			prior: []PriorAttempt{
+				{Location: Location{Zone: "a"}, SentAt: now},
+				{Location: Location{Zone: "b"}, SentAt: now},
+			},
 			endpoints: "",
 			answer:    Fail,
 		},
 		"window has passed": {
 			effect:    Keyed,
 			scope:     ScopeZone,
-			prior:     []PriorAttempt{{Zone: "b", SentAt: now - time.Second}},
+			prior:     []PriorAttempt{{Location: Location{Zone: "b"}, SentAt: now - time.Second}},
 			endpoints: "",
 			answer:    Fail,
 		},
 		"a removed zone": {
 			effect:    Keyed,
 			scope:     ScopeZone,
-			prior:     []PriorAttempt{{Zone: "z", SentAt: now}},
+			prior:     []PriorAttempt{{Location: Location{Zone: "z"}, SentAt: now}},
 			endpoints: "",
 			answer:    Fail,
 		},
 		"not idempotent": {
 			effect:    NonIdempotent,
 			scope:     ScopeAll,
-			prior:     []PriorAttempt{{Zone: "b", SentAt: now}},
+			prior:     []PriorAttempt{{Location: Location{Zone: "b"}, SentAt: now}},
 			endpoints: "",
 			answer:    Fail,
 		},
 		"idempotent": {
 			effect:    Idempotent,
 			scope:     ScopeAll,
-			prior:     []PriorAttempt{{Zone: "b", SentAt: 0}},
+			prior:     []PriorAttempt{{Location: Location{Zone: "b"}, SentAt: 0}},
 			endpoints: "abc",
 			answer:    Reject,
 		},
--- a/balancer/property_test.go
+++ b/balancer/property_test.go
@@ -276,7 +276,10 @@
 		}
 		delete(c.active, endpoint.ID)
 		if endpoint.State == Active {
-			c.active[endpoint.ID] = endpoint
+			c.active[endpoint.ID] = endpoint // with its true zone and cell, also if they are not reported
+		}
+		if g.IntN(4) == 0 {
+			endpoint.Zone, endpoint.Cell, endpoint.LocationUnknown = "", 0, true
 		}
 		endpoints = append(endpoints, endpoint)
 	}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -54,8 +54,7 @@
 	request          *request
 	number           int
 	endpoint         *endpoint
-	zone             string // zone of the endpoint when the attempt was sent
-	cell             int
+	location         Location // of the endpoint when the attempt was sent
 	sentAt           time.Duration
 	outstanding      bool
 	reportedInFlight float64 // load that the endpoint reported since its pair was drawn, or unreported
@@ -183,8 +182,7 @@
 		request:          r,
 		number:           len(r.attempts),
 		endpoint:         ep,
-		zone:             ep.zone,
-		cell:             ep.cell,
+		location:         ep.location,
 		sentAt:           b.now,
 		outstanding:      true,
 		mayHaveRun:       true,
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -172,7 +172,7 @@
 		return float64(s.size) / all
 	}
 	home, others := float64(s.homeSize), float64(s.size-s.homeSize)
-	fromHome := min(1, home/float64(s.zoneSizes[ep.zone]))
+	fromHome := min(1, home/float64(s.zoneSizes[ep.location.Zone]))
 	return homeZoneSkew*fromHome/zones + (1-1/zones)*others/(all-all/zones)
 }
 
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -72,7 +72,7 @@
 	s.clear(b.endpoints)
 	if b.crossZoneCost() > 0 {
 		s.add(b.endpoints, b.homeSubsetSize(size), func(ep *endpoint) bool {
-			return ep.zone == b.settings.Zone && !ep.health.isEjected(b.now)
+			return ep.location.Zone == b.settings.Zone && !ep.health.isEjected(b.now)
 		})
 	}
 	s.homeSize = s.size
@@ -137,7 +137,7 @@
 func (s *subset) countZones(endpoints []*endpoint) {
 	clear(s.zoneSizes)
 	for _, ep := range endpoints {
-		s.zoneSizes[ep.zone]++
+		s.zoneSizes[ep.location.Zone]++
 	}
 }
 
--- a/balancer/subset_test.go
+++ b/balancer/subset_test.go
@@ -140,7 +140,7 @@
 		home, others := 0, 0
 		for _, ep := range b.endpoints {
 			switch {
-			case ep.inSubset && ep.zone == "b":
+			case ep.inSubset && ep.location.Zone == "b":
 				home++
 			case ep.inSubset:
 				others++
@@ -162,7 +162,7 @@
 	for seed := range uint64(sidecars) {
 		b := newTwoZoneBalancer(t, 300, endpoints, inZoneB, seed)
 		for _, ep := range b.endpoints {
-			shares[ep.zone] += b.shareOfOwnLoad(ep) / sidecars
+			shares[ep.location.Zone] += b.shareOfOwnLoad(ep) / sidecars
 		}
 	}
 	for zone, n := range map[string]int{"a": endpoints - inZoneB, "b": inZoneB} {
@@ -220,7 +220,7 @@
 		{subset{size: 10, homeSize: 8, zoneSizes: zones}, "a", homeZoneSkew*8.0/54/2 + 0.5*2/30},
 		{subset{size: 10, homeSize: 8, zoneSizes: zones}, "b", homeZoneSkew/2 + 0.5*2/30},
 	} {
-		if got := c.subset.shareOfSidecars(&endpoint{zone: c.zone}, 60); !almostEqual(got, c.want) {
+		if got := c.subset.shareOfSidecars(&endpoint{location: Location{Zone: c.zone}}, 60); !almostEqual(got, c.want) {
 			t.Errorf("%+v, zone %s: share of sidecars %v, want %v", c.subset, c.zone, got, c.want)
 		}
 	}
--- a/balancer/zone.go
+++ b/balancer/zone.go
@@ -36,9 +36,9 @@
 func (b *Balancer) isInZones(zones zoneFilter, ep *endpoint) bool {
 	switch zones {
 	case homeZone:
-		return ep.zone == b.settings.Zone
+		return ep.location.Zone == b.settings.Zone
 	case otherZones:
-		return ep.zone != b.settings.Zone
+		return ep.location.Zone != b.settings.Zone
 	}
 	return true
 }
--- a/cmd/hazelwing/store_test.go
+++ b/cmd/hazelwing/store_test.go
@@ -36,7 +36,7 @@
 			State:      idempotency.StateOpen,
 			IntendedAt: at(0),
 			ExpiresAt:  at(time.Hour),
-			Locations:  []idempotency.Location{{Zone: "upper-hill"}},
+			Locations:  []idempotency.Location{{Location: balancer.Location{Zone: "upper-hill"}}},
 		},
 		"b": {
 			Effect:     balancer.Keyed,
@@ -44,7 +44,7 @@
 			State:      idempotency.StateExecuted,
 			IntendedAt: at(-time.Minute),
 			ExpiresAt:  at(time.Hour),
-			Locations:  []idempotency.Location{{Zone: "athi-river"}},
+			Locations:  []idempotency.Location{{Location: balancer.Location{Zone: "athi-river"}}},
 		},
 	} {
 		fp := idempotency.NewFingerprint(r.Class, "", key)
--- a/internal/discovery/dns/refresher.go
+++ b/internal/discovery/dns/refresher.go
@@ -202,10 +202,11 @@
 	for _, target := range answer.Targets {
 		for _, addr := range target.Addrs {
 			list = append(list, discovery.Endpoint{
-				Addr:         netip.AddrPortFrom(addr, target.Port).String(),
-				State:        balancer.Active,
-				Priority:     int(target.Priority),
-				TrafficShare: float64(target.Weight) / float64(len(target.Addrs)),
+				Addr:            netip.AddrPortFrom(addr, target.Port).String(),
+				LocationUnknown: true, // a record has neither a zone nor a cell
+				State:           balancer.Active,
+				Priority:        int(target.Priority),
+				TrafficShare:    float64(target.Weight) / float64(len(target.Addrs)),
 			})
 		}
 	}
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -9,12 +9,14 @@
 // Endpoint is an endpoint as a source describes it.
 type Endpoint struct {
 	// ID is the endpoint's name. It is empty if the source knows only the address. It is never empty in a Change.
-	ID    string                 `json:"ID"`
-	Addr  string                 `json:"Addr"`
-	Zone  string                 `json:"Zone"`
-	Kind  string                 `json:"Kind"`
-	Cell  int                    `json:"Cell"`
-	State balancer.EndpointState `json:"State"`
+	ID   string `json:"ID"`
+	Addr string `json:"Addr"`
+	Zone string `json:"Zone"`
+	Kind string `json:"Kind"`
+	Cell int    `json:"Cell"`
+	// LocationUnknown means that the source reports neither Zone nor Cell.
+	LocationUnknown bool                   `json:"-"`
+	State           balancer.EndpointState `json:"State"`
 	// StartedAtMS is when the endpoint's process started, in Unix milliseconds; 0 means unknown or long ago.
 	StartedAtMS float64 `json:"BornMS"`
 	// Priority is the failover level; lower levels are used first.
--- a/internal/discovery/mergedsource/endpoints.go
+++ b/internal/discovery/mergedsource/endpoints.go
@@ -95,24 +95,26 @@
 
 func fromEngine(e engine.Endpoint) discovery.Endpoint {
 	return discovery.Endpoint{
-		ID:          e.ID,
-		Addr:        e.Addr,
-		Zone:        e.Zone,
-		Kind:        e.Kind,
-		Cell:        e.Cell,
-		State:       e.State,
-		StartedAtMS: e.StartedAtMS,
+		ID:              e.ID,
+		Addr:            e.Addr,
+		Zone:            e.Zone,
+		Kind:            e.Kind,
+		Cell:            e.Cell,
+		LocationUnknown: e.LocationUnknown,
+		State:           e.State,
+		StartedAtMS:     e.StartedAtMS,
 	}
 }
 
 func toEngine(e discovery.Endpoint) engine.Endpoint {
 	return engine.Endpoint{
-		ID:          e.ID,
-		Addr:        e.Addr,
-		Zone:        e.Zone,
-		Kind:        e.Kind,
-		Cell:        e.Cell,
-		State:       e.State,
-		StartedAtMS: e.StartedAtMS,
+		ID:              e.ID,
+		Addr:            e.Addr,
+		Zone:            e.Zone,
+		Kind:            e.Kind,
+		Cell:            e.Cell,
+		LocationUnknown: e.LocationUnknown,
+		State:           e.State,
+		StartedAtMS:     e.StartedAtMS,
 	}
 }
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"hazelwing/balancer"
 )
 
 // Call is one request of an application. A front fills in the exported fields and does not modify them after it has
@@ -45,9 +47,8 @@
 
 // PriorAttempt is an attempt of another call that may have run.
 type PriorAttempt struct {
-	Zone   string
-	Cell   int
-	SentAt time.Time
+	Location balancer.Location
+	SentAt   time.Time
 }
 
 // MayStart returns a function that decides whether an attempt that is ready to be written may still start. The attempt
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -43,7 +43,7 @@
 		ExpectedWork: c.ExpectedWork,
 	}
 	for _, p := range c.PriorAttempts {
-		prior := balancer.PriorAttempt{Zone: p.Zone, Cell: p.Cell, SentAt: e.clock.fromTime(p.SentAt)}
+		prior := balancer.PriorAttempt{Location: p.Location, SentAt: e.clock.fromTime(p.SentAt)}
 		r.PriorAttempts = append(r.PriorAttempts, prior)
 	}
 	return r
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -28,12 +28,13 @@
 			e.drains[ep.ID] = d
 		}
 		endpoints[i] = balancer.Endpoint{
-			ID:        ep.ID,
-			Zone:      ep.Zone,
-			Kind:      ep.Kind,
-			Cell:      ep.Cell,
-			State:     ep.State,
-			StartedAt: e.clock.fromUnixMS(ep.StartedAtMS),
+			ID:              ep.ID,
+			Zone:            ep.Zone,
+			Kind:            ep.Kind,
+			Cell:            ep.Cell,
+			LocationUnknown: ep.LocationUnknown,
+			State:           ep.State,
+			StartedAt:       e.clock.fromUnixMS(ep.StartedAtMS),
 		}
 	}
 	e.decide(balancer.EndpointUpdate{Kind: u.Kind, Endpoints: endpoints})
--- a/internal/engine/races_test.go
+++ b/internal/engine/races_test.go
@@ -185,7 +185,7 @@
 	f := newFakeNetwork()
 	e := newSteppedEngine(t, f, testSettings(), 0) // without endpoints the call waits
 	c := newTestCall("1", "look")
-	c.PriorAttempts = []PriorAttempt{{Zone: "a", SentAt: time.Now()}}
+	c.PriorAttempts = []PriorAttempt{{Location: balancer.Location{Zone: "a"}, SentAt: time.Now()}}
 	e.handleCall(c)
 	e.shutDown()
 	if r := testutil.Receive(t, c.result, "the result"); r.Kind != Failed {
--- a/internal/engine/source.go
+++ b/internal/engine/source.go
@@ -9,12 +9,14 @@
 
 // Endpoint is an entry in the endpoint list.
 type Endpoint struct {
-	ID    string // the same for every engine and after a restart
-	Addr  string // network address of the endpoint
-	Zone  string
-	Kind  string // machine type
-	Cell  int
-	State balancer.EndpointState
+	ID   string // the same for every engine and after a restart
+	Addr string // network address of the endpoint
+	Zone string
+	Kind string // machine type
+	Cell int
+	// LocationUnknown means that the source reports neither Zone nor Cell.
+	LocationUnknown bool
+	State           balancer.EndpointState
 	// StartedAtMS is when the endpoint's process started, in Unix milliseconds; 0 means long ago. A different value
 	// identifies a different process.
 	StartedAtMS float64
--- a/internal/idempotency/decisions.go
+++ b/internal/idempotency/decisions.go
@@ -40,7 +40,7 @@
 //   - If the class is NonIdempotent, the request fails if another request with the fingerprint is in flight or may have
 //     run.
 //   - If the class is Keyed, the request fails if the idempotency window of any attempt that may have run has passed,
-//     or may have passed.
+//     or may have passed, or if no endpoint is known to be in the idempotency scope of such an attempt.
 //
 // This prevents a client's retry under a new request ID from executing its operation twice. If the decision is Admit,
 // the caller calls EndRequest once. The returned locations are those at which attempts of other requests with the same
@@ -55,7 +55,7 @@
 	}
 	isRepeat := e.requests > 0 || len(e.locations) > 0
 	mayRunTwice := c.Effect == balancer.NonIdempotent && isRepeat
-	if mayRunTwice || !e.withinWindow(now, c) {
+	if mayRunTwice || !e.withinWindow(now, c) || e.hasUnknownScope(c) {
 		return FailRequest, nil
 	}
 	e.requests++
@@ -66,7 +66,7 @@
 	return Admit, earlier
 }
 
-// BeginAttempt decides whether an attempt may be sent to an endpoint in the given zone and cell:
+// BeginAttempt decides whether an attempt may be sent to an endpoint at the given location:
 //
 //   - The attempt must be within the idempotency window and inside the idempotency scope of all attempts with the
 //     fingerprint that may have run, including those that were sent after the request was admitted. This prevents an
@@ -77,13 +77,13 @@
 //
 // Unless the decision is Forbid or TableFull, the caller calls EndAttempt once. If the decision is WriteRecord, the
 // caller calls RecordWritten before EndAttempt, when the returned record is durable or could not be written.
-func (t *Tracker) BeginAttempt(now Instant, fp Fingerprint, zone string, cell int) (AttemptDecision, *Attempt, Record) {
+func (t *Tracker) BeginAttempt(now Instant, fp Fingerprint, at balancer.Location) (AttemptDecision, *Attempt, Record) {
 	e := t.entries[fp]
 	if e == nil { // the request has had its final answer since it was admitted
 		return Forbid, nil, Record{}
 	}
 	class := t.classes[e.class]
-	if !e.withinWindow(now, class) || e.hasLocationOutside(class, zone, cell) {
+	if !e.withinWindow(now, class) || e.hasLocationOutside(class, at) {
 		return Forbid, nil, Record{}
 	}
 	if e.intendedAt == 0 {
@@ -94,7 +94,7 @@
 		e.expiresAt = now.Time + Time(t.config.Retention.Milliseconds())
 		t.byExpiry = append(t.byExpiry, e)
 	}
-	l := e.addPossibleRun(now, zone, cell)
+	l := e.addPossibleRun(now, at)
 	e.attempts++
 	e.state = StateOpen
 	t.open[fp] = e
@@ -119,19 +119,20 @@
 	})
 }
 
-// hasLocationOutside reports whether another attempt must not be sent to a zone and cell, because an earlier attempt
-// may have run outside their idempotency scope: the endpoints in this zone and cell would not recognize the
-// duplicate. For a NonIdempotent class every earlier attempt counts as outside.
-func (e *entry) hasLocationOutside(class balancer.Class, zone string, cell int) bool {
+// hasLocationOutside reports whether another attempt must not be sent to a location, because an earlier attempt may
+// have run outside its idempotency scope: the endpoints at this location would not recognize the duplicate. For a
+// NonIdempotent class every earlier attempt counts as outside.
+func (e *entry) hasLocationOutside(class balancer.Class, at balancer.Location) bool {
 	return slices.ContainsFunc(e.locations, func(l *location) bool {
-		switch {
-		case class.Effect == balancer.NonIdempotent:
-			return true
-		case class.IdempotencyScope == balancer.ScopeZone:
-			return l.Zone != zone
-		case class.IdempotencyScope == balancer.ScopeCell:
-			return l.Cell != cell
-		}
-		return false
+		return class.Effect == balancer.NonIdempotent || !class.IdempotencyScope.Covers(l.Location.Location, at)
+	})
+}
+
+// hasUnknownScope reports whether no endpoint is known to be in the idempotency scope of an attempt that may have run,
+// because the location of its endpoint was unknown.
+func (e *entry) hasUnknownScope(class balancer.Class) bool {
+	return slices.ContainsFunc(e.locations, func(l *location) bool {
+		at := l.Location.Location
+		return class.Effect == balancer.Keyed && !class.IdempotencyScope.Covers(at, at)
 	})
 }
--- a/internal/idempotency/encoding.go
+++ b/internal/idempotency/encoding.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"hazelwing/balancer"
@@ -23,6 +24,10 @@
 	maxLocations = 255
 )
 
+// unknownLocationCell is the cell that is stored for an endpoint whose zone and cell are unknown. Versions of the
+// program that do not know its meaning find no endpoint in this cell.
+const unknownLocationCell = math.MinInt32
+
 // Sizes of encoded numbers, in bytes.
 const (
 	uint32Bytes = 4
@@ -45,12 +50,20 @@
 	for _, location := range locations {
 		b = binary.LittleEndian.AppendUint64(b, uint64(location.SentAt))
 		b = binary.LittleEndian.AppendUint32(b, location.BootNumber)
-		b = binary.LittleEndian.AppendUint32(b, uint32(location.Cell))
+		b = binary.LittleEndian.AppendUint32(b, uint32(storedCell(location.Location)))
 		b = appendText(b, location.Zone)
 	}
 	return b
 }
 
+// storedCell returns the number that stands for the cell of a location in a record.
+func storedCell(at balancer.Location) int32 {
+	if at.Unknown {
+		return unknownLocationCell
+	}
+	return int32(at.Cell)
+}
+
 func appendText(b []byte, text string) []byte {
 	text = text[:min(len(text), maxTextBytes)]
 	b = append(b, byte(len(text)))
@@ -71,12 +84,7 @@
 		Class:      d.text(),
 	}
 	for range d.byte() {
-		r.Locations = append(r.Locations, Location{
-			SentAt:     Time(d.uint64()),
-			BootNumber: d.uint32(),
-			Cell:       int(int32(d.uint32())),
-			Zone:       d.text(),
-		})
+		r.Locations = append(r.Locations, d.location())
 	}
 	if err := d.end(); err != nil {
 		return Record{}, err
@@ -163,3 +171,13 @@
 func (d *decoder) uint32() uint32 { return binary.LittleEndian.Uint32(d.take(uint32Bytes)) }
 func (d *decoder) uint64() uint64 { return binary.LittleEndian.Uint64(d.take(uint64Bytes)) }
 func (d *decoder) text() string   { return string(d.take(int(d.byte()))) }
+
+func (d *decoder) location() Location {
+	l := Location{SentAt: Time(d.uint64()), BootNumber: d.uint32()}
+	l.Cell = int(int32(d.uint32()))
+	l.Zone = d.text()
+	if l.Cell == unknownLocationCell {
+		l.Location = balancer.Location{Unknown: true}
+	}
+	return l
+}
--- a/internal/idempotency/encoding_test.go
+++ b/internal/idempotency/encoding_test.go
@@ -33,7 +33,9 @@
 		State:      StateOpen,
 		IntendedAt: 1_796_191_200_001,
 		ExpiresAt:  1_796_191_800_002,
-		Locations:  []Location{{Zone: "a", Cell: 0, SentAt: 1_796_191_200_003, BootNumber: 1}},
+		Locations: []Location{
+			{Location: balancer.Location{Zone: "a", Cell: 0}, SentAt: 1_796_191_200_003, BootNumber: 1},
+		},
 	}},
 	{"keyed-unknown", Record{
 		Effect:     balancer.Keyed,
@@ -42,8 +44,8 @@
 		IntendedAt: 4,
 		ExpiresAt:  5,
 		Locations: []Location{
-			{Zone: "zone-2", Cell: 7, SentAt: 6, BootNumber: 0x01020304},
-			{Zone: "", Cell: -1, SentAt: -8, BootNumber: 9},
+			{Location: balancer.Location{Zone: "zone-2", Cell: 7}, SentAt: 6, BootNumber: 0x01020304},
+			{Location: balancer.Location{Zone: "", Cell: -1}, SentAt: -8, BootNumber: 9},
 		},
 	}},
 	{"keyed-ran", Record{
@@ -102,8 +104,9 @@
 		IntendedAt: 5,
 		ExpiresAt:  7,
 		Locations: []Location{
-			{Zone: "a", Cell: -3, SentAt: 6, BootNumber: 9},
-			{Zone: "", Cell: 4, SentAt: 8},
+			{Location: balancer.Location{Zone: "a", Cell: -3}, SentAt: 6, BootNumber: 9},
+			{Location: balancer.Location{Zone: "", Cell: 4}, SentAt: 8},
+			{Location: balancer.Location{Unknown: true}, SentAt: 9, BootNumber: 2},
 		},
 	}
 	data := want.Append(nil)
--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -34,12 +34,12 @@
 // location is used even if the attempt is sent to another zone or cell: BeginAttempt allows an attempt only inside the
 // idempotency scope of all locations, so that both are in the same scope. The location keeps the SentAt of its first
 // attempt, whose idempotency window ends first.
-func (e *entry) addPossibleRun(now Instant, zone string, cell int) *location {
+func (e *entry) addPossibleRun(now Instant, at balancer.Location) *location {
 	var l *location
 	if len(e.locations) > 0 {
 		l = e.locations[len(e.locations)-1]
 	} else {
-		l = &location{Location: Location{Zone: zone, Cell: cell, SentAt: now.Time, BootNumber: now.BootNumber}}
+		l = &location{Location: Location{Location: at, SentAt: now.Time, BootNumber: now.BootNumber}}
 		e.locations = append(e.locations, l)
 	}
 	l.possibleRuns++
--- a/internal/idempotency/middleware/doer.go
+++ b/internal/idempotency/middleware/doer.go
@@ -69,9 +69,8 @@
 	}
 	for _, l := range locations {
 		c.PriorAttempts = append(c.PriorAttempts, engine.PriorAttempt{
-			Zone:   l.Zone,
-			Cell:   l.Cell,
-			SentAt: time.Now().Add(-now.MaxElapsedSince(l.SentAt, l.BootNumber)),
+			Location: l.Location,
+			SentAt:   time.Now().Add(-now.MaxElapsedSince(l.SentAt, l.BootNumber)),
 		})
 	}
 	return engine.Result{}, true
--- a/internal/idempotency/middleware/inspect.go
+++ b/internal/idempotency/middleware/inspect.go
@@ -54,6 +54,10 @@
 func newRecordInfo(fp idempotency.Fingerprint, record *idempotency.Record) RecordInfo {
 	var locations []string
 	for _, l := range record.Locations {
+		if l.Unknown {
+			locations = append(locations, "unknown")
+			continue
+		}
 		locations = append(locations, fmt.Sprintf("%s/%d", l.Zone, l.Cell))
 	}
 	return RecordInfo{
--- a/internal/idempotency/middleware/middleware_test.go
+++ b/internal/idempotency/middleware/middleware_test.go
@@ -386,7 +386,7 @@
 	x := &exchange{
 		deduplicator: d,
 		fingerprint:  fp,
-		zone:         "a",
+		location:     balancer.Location{Zone: "a"},
 		deadline:     time.Now().Add(time.Minute),
 		abandoned:    make(chan struct{}),
 	}
--- a/internal/idempotency/middleware/transport.go
+++ b/internal/idempotency/middleware/transport.go
@@ -43,25 +43,31 @@
 	if next == nil || t.deduplicator.effects[c.Class] == balancer.Idempotent {
 		return next
 	}
-	endpoint := t.endpoints[endpointID]
 	return &exchange{
 		Exchange:     next,
 		deduplicator: t.deduplicator,
 		fingerprint:  fingerprint(c),
-		zone:         endpoint.Zone,
-		cell:         endpoint.Cell,
+		location:     t.locationOf(endpointID),
 		deadline:     time.Now().Add(timeout),
 		abandoned:    make(chan struct{}),
 	}
 }
 
+func (t *transport) locationOf(endpointID string) balancer.Location {
+	endpoint, ok := t.endpoints[endpointID]
+	return balancer.Location{
+		Zone:    endpoint.Zone,
+		Cell:    endpoint.Cell,
+		Unknown: endpoint.LocationUnknown || !ok,
+	}
+}
+
 // exchange wraps an attempt that has to wait until its intent is durable.
 type exchange struct {
 	engine.Exchange
 	deduplicator *Deduplicator
 	fingerprint  idempotency.Fingerprint
-	zone         string
-	cell         int
+	location     balancer.Location
 	deadline     time.Time
 
 	mu        sync.Mutex
@@ -138,7 +144,7 @@
 // attempt and the error are nil, the attempt may be sent and is not remembered.
 func (x *exchange) awaitIntent() (*idempotency.Attempt, error) {
 	d := x.deduplicator
-	attempt, written, err := d.beginAttempt(x.fingerprint, x.zone, x.cell)
+	attempt, written, err := d.beginAttempt(x.fingerprint, x.location)
 	if attempt == nil {
 		return nil, err
 	}
--- a/internal/idempotency/middleware/wal.go
+++ b/internal/idempotency/middleware/wal.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"hazelwing/balancer"
 	"hazelwing/internal/idempotency"
 	"hazelwing/internal/store"
 )
@@ -136,11 +137,11 @@
 // does not have to wait. If the returned attempt is nil, the error is the reason why the attempt must not be sent; if
 // the error is nil as well, the attempt may be sent and is not remembered.
 func (d *Deduplicator) beginAttempt(
-	fp idempotency.Fingerprint, zone string, cell int,
+	fp idempotency.Fingerprint, at balancer.Location,
 ) (*idempotency.Attempt, <-chan struct{}, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	decision, attempt, record := d.tracker.BeginAttempt(d.now(), fp, zone, cell)
+	decision, attempt, record := d.tracker.BeginAttempt(d.now(), fp, at)
 	switch decision {
 	case idempotency.Forbid:
 		return nil, nil, errForbidden
--- a/internal/idempotency/random_test.go
+++ b/internal/idempotency/random_test.go
@@ -6,17 +6,21 @@
 	"slices"
 	"testing"
 	"time"
+
+	"hazelwing/balancer"
 )
 
 // Kinds of random events, encoded in the lower four bits of a byte. The upper four bits are the event's argument.
 const (
-	eventAdmit      = 0 // 0 to 2
-	eventAttempt    = 3 // 3 to 6; if the operation has no request in flight, an attempt ends as for eventNoAnswer
-	eventAnswer     = 7 // an attempt is answered
-	eventNoAnswer   = 8 // an attempt ends without an answer, and may have run
-	eventNotRun     = 9 // an attempt ends, and is proved not to have run
-	eventEndRequest = 10
-	eventAdvance    = 11 // 11 and 12: time passes
+	eventAdmit   = 0 // 0 to 2
+	eventAttempt = 3 // 3 to 6; if the operation has no request in flight, an attempt ends as for eventNoAnswer
+	// eventUnknownLocation is an eventAttempt whose zone is not reported to the tracker.
+	eventUnknownLocation = 6
+	eventAnswer          = 7 // an attempt is answered
+	eventNoAnswer        = 8 // an attempt ends without an answer, and may have run
+	eventNotRun          = 9 // an attempt ends, and is proved not to have run
+	eventEndRequest      = 10
+	eventAdvance         = 11 // 11 and 12: time passes
 	// Wall time is set back by a minute. It is never set forward: no clock could detect this after a restart of the
 	// machine, and entries would expire early.
 	eventWallBack      = 13
@@ -89,7 +93,7 @@
 			r.requests[operation.name]++
 		}
 	case event < eventAnswer && r.requests[operation.name] > 0:
-		r.beginAttempt(fp, arg)
+		r.beginAttempt(fp, arg, event != eventUnknownLocation)
 	case event <= eventNotRun && len(r.open) > 0:
 		r.endAttempt(event, arg)
 	case event == eventEndRequest && r.requests[operation.name] > 0:
@@ -110,11 +114,16 @@
 	}
 }
 
-// beginAttempt begins an attempt. The write of its record succeeds or fails at once.
-func (r *randomRun) beginAttempt(fp Fingerprint, arg int) {
+// beginAttempt begins an attempt, whose zone is reported to the tracker or not. The write of its record succeeds or
+// fails at once.
+func (r *randomRun) beginAttempt(fp Fingerprint, arg int, reported bool) {
 	operation := randomOperations[arg%4]
 	zone := string(rune('a' + arg/4%2))
-	decision, a, record := r.tracker.BeginAttempt(r.now(), fp, zone, 0)
+	at := balancer.Location{Unknown: true}
+	if reported {
+		at = balancer.Location{Zone: zone}
+	}
+	decision, a, record := r.tracker.BeginAttempt(r.now(), fp, at)
 	if a == nil {
 		return
 	}
--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -12,11 +12,10 @@
 	StateExecuted State = 3 // at least one attempt was answered
 )
 
-// Location stands for attempts in one idempotency scope that may have run. Zone and Cell are those of the first of
-// them.
+// Location stands for attempts in one idempotency scope that may have run. The embedded location is that of the first
+// of them.
 type Location struct {
-	Zone       string
-	Cell       int
+	balancer.Location
 	SentAt     Time   // time of the intent of the first attempt at this location
 	BootNumber uint32 // number of the machine's boot in which SentAt was read
 }
--- a/internal/idempotency/tracker_test.go
+++ b/internal/idempotency/tracker_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"hazelwing/balancer"
 )
 
 // Names of decisions, updates and states in the scripts.
@@ -107,10 +109,14 @@
 	return fmt.Sprintf("%s%s\n", requestDecisionNames[decision], formatLocations(earlier))
 }
 
-// beginAttempt executes "begin REQUEST ATTEMPT ZONE [CELL]".
+// beginAttempt executes "begin REQUEST ATTEMPT ZONE [CELL]". A zone of "?" stands for an unknown location.
 func (r *scriptRun) beginAttempt(l *scriptLine) string {
 	fp := r.fingerprints[l.arg(1)]
-	decision, a, record := r.tracker.BeginAttempt(r.now(), fp, l.fields[3], l.number(4))
+	at := balancer.Location{Zone: l.fields[3], Cell: l.number(4)}
+	if at.Zone == "?" {
+		at = balancer.Location{Unknown: true}
+	}
+	decision, a, record := r.tracker.BeginAttempt(r.now(), fp, at)
 	r.attempts[l.fields[2]] = a
 	if decision != WriteRecord {
 		return fmt.Sprintln(attemptDecisionNames[decision])
@@ -179,6 +185,10 @@
 func formatLocations(list []Location) string {
 	var out strings.Builder
 	for _, l := range list {
+		if l.Unknown {
+			out.WriteString(" ?")
+			continue
+		}
 		fmt.Fprintf(&out, " %s/%d", l.Zone, l.Cell)
 	}
 	return out.String()
--- a/rpc/grpcbalancer/endpoints.go
+++ b/rpc/grpcbalancer/endpoints.go
@@ -18,7 +18,9 @@
 	open func(log *slog.Logger) (engine.Source, []engine.Endpoint, error)
 }
 
-// Endpoint is an entry of the endpoint list. Fields other than Addr may be zero.
+// Endpoint is an entry of the endpoint list. Fields other than Addr may be zero. If both Zone and Cell are zero, they
+// count as unknown: a keyed request of ScopeZone or ScopeCell that may have run at the endpoint is not sent again, and
+// one that may have run elsewhere is not sent to it.
 type Endpoint struct {
 	ID   string // must be the same in all instances of the balancer; defaults to Addr
 	Addr string // "host:port"
@@ -33,6 +35,7 @@
 // entry converts e to an engine.Endpoint.
 func (e Endpoint) entry() engine.Endpoint {
 	entry := engine.Endpoint{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell}
+	entry.LocationUnknown = e.Zone == "" && e.Cell == 0
 	if entry.ID == "" {
 		entry.ID = e.Addr
 	}
--- a/rpc/grpcbalancer/endpoints_test.go
+++ b/rpc/grpcbalancer/endpoints_test.go
@@ -65,7 +65,7 @@
 	}
 	update := <-updates
 	want := []engine.Endpoint{
-		{ID: "127.0.0.1:1", Addr: "127.0.0.1:1"},
+		{ID: "127.0.0.1:1", Addr: "127.0.0.1:1", LocationUnknown: true},
 		{ID: "s", Addr: "127.0.0.1:2", Zone: "a", Kind: "m", Cell: 3, StartedAtMS: 1_700_000_000_000},
 	}
 	if update.Kind != balancer.CompleteList || !slices.Equal(update.Endpoints, want) {
