Write the store's changes in the order in which they were requested

The store had two queues; gather took the deferred changes first, so that a deletion queued after that and a put of the same key queued before the end of the batch were written in the wrong order. endAttempt queues the deletion of an intent that never ran, and the next attempt of the same booking puts a new one.

Change: one queue; a batch is a prefix of it, up to a rotation. The lock that adds a change gives its order. Bounds and the form of the data are as before. checkKey is taken out of the model's check, which is as strict.

Related paths: PutLater, Delete and rotations use the same queue; a change during Close is rejected under the queue's lock. The ledger's writes in flight and the engine's events have one queue each, by reading.

--- a/internal/store/model_test.go
+++ b/internal/store/model_test.go
@@ -61,24 +61,18 @@
 		return err
 	}
 	for _, key := range keys {
+		if err := m.checkKey(s, key); err != nil {
+			return err
+		}
 		got, ok, err := s.Get(key)
 		if err != nil {
 			return err
 		}
-		if !ok {
-			got = nil
-		}
 		if other, isListed := listed[key]; isListed != ok || !bytes.Equal(other, got) {
 			return fmt.Errorf("entry %s: Get returns %q, found %v, but Each returns %q, found %v",
 				key, got, ok, other, isListed)
 		}
 		delete(listed, key)
-		allowed := append(slices.Clone(m.uncertain[key]), m.confirmed[key])
-		if !slices.ContainsFunc(allowed, func(v []byte) bool { return (v == nil) == !ok && bytes.Equal(v, got) }) {
-			return fmt.Errorf("entry %s: value is %q, found %v, want the confirmed value %q, found %v, "+
-				"or an uncertain one of %q (an uncertain \"\" may mean no entry)",
-				key, got, ok, m.confirmed[key], m.confirmed[key] != nil, m.uncertain[key])
-		}
 	}
 	for key := range listed {
 		return fmt.Errorf("entry %s is present although it was never put", key)
@@ -86,6 +80,21 @@
 	return nil
 }
 
+// checkKey compares the value of a key in a store with the model.
+func (m *model) checkKey(s *store.Store, key string) error {
+	got, ok, err := s.Get(key)
+	if err != nil {
+		return err
+	}
+	allowed := append(slices.Clone(m.uncertain[key]), m.confirmed[key])
+	if !slices.ContainsFunc(allowed, func(v []byte) bool { return (v == nil) == !ok && bytes.Equal(v, got) }) {
+		return fmt.Errorf("entry %s: value is %q, found %v, want the confirmed value %q, found %v, "+
+			"or an uncertain one of %q (an uncertain \"\" may mean no entry)",
+			key, got, ok, m.confirmed[key], m.confirmed[key] != nil, m.uncertain[key])
+	}
+	return nil
+}
+
 // checkRecovery opens the store that a crash left, compares it with the model, and checks that it is usable. The text
 // what names the case in failure messages.
 func (m *model) checkRecovery(t *testing.T, what string, fs *faultfs.FS, keys []string) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -66,10 +66,9 @@
 	logger  *slog.Logger
 	lock    io.Closer
 
-	ops                 chan op
-	deferredOps         chan op       // ops of PutLater and DeleteLater
+	queue               *opQueue
 	maintenanceRequests chan struct{} // holds a token when maintenance may be necessary
-	closed              chan struct{} // closed by Close
+	closed              chan struct{} // closed by Close, after the queue
 	writerDone          chan struct{} // closed when the writer has ended
 	maintainerDone      chan struct{} // closed when the maintainer has ended
 
@@ -110,6 +109,9 @@
 	done   chan error // receives the result of the op; nil if no caller waits for it
 }
 
+// isDeferred reports whether no caller waits for the op.
+func (o *op) isDeferred() bool { return o.done == nil }
+
 // finish reports the result of an op to the caller that waits for it.
 func (o *op) finish(err error) {
 	if o.done != nil {
@@ -131,8 +133,7 @@
 		logger:  options.Logger.With("component", "store"),
 		lock:    lock,
 
-		ops:                 make(chan op, maxWaitingOps),
-		deferredOps:         make(chan op, maxDeferredOps),
+		queue:               newOpQueue(),
 		maintenanceRequests: make(chan struct{}, 1),
 		closed:              make(chan struct{}),
 		writerDone:          make(chan struct{}),
@@ -195,16 +196,16 @@
 }
 
 // PutLater puts an entry with the next batch, within 100 ms if the writer is not busy. It does not block, and the entry
-// is not confirmed; if it cannot be written later, the caller is not told. For each key, changes by PutLater and
-// DeleteLater take effect before changes that are requested after them; for the exception see gather. PutLater returns
-// false, and does nothing, if too many changes are waiting, the size is not valid, or the store is closed.
+// is not confirmed; if it cannot be written later, the caller is not told. For each key, all changes take effect in the
+// order in which they are requested. PutLater returns false, and does nothing, if too many changes are waiting, the
+// size is not valid, or the store is closed.
 func (s *Store) PutLater(key string, value []byte, expiresAt time.Time) bool {
-	return checkSize(key, value) == nil && s.enqueue(op{record: newPut(key, value, expiresAt)})
+	return checkSize(key, value) == nil && s.queue.addDeferred(op{record: newPut(key, value, expiresAt)})
 }
 
 // DeleteLater deletes an entry with the next batch. It behaves like PutLater otherwise.
 func (s *Store) DeleteLater(key string) bool {
-	return checkSize(key, nil) == nil && s.enqueue(op{record: record{kind: kindDelete, key: key}})
+	return checkSize(key, nil) == nil && s.queue.addDeferred(op{record: record{kind: kindDelete, key: key}})
 }
 
 // checkSize returns an error that wraps ErrSize unless the sizes of a key and value are valid.
@@ -227,39 +228,10 @@
 // submit passes an op to the writer and waits for its result.
 func (s *Store) submit(o op) error {
 	o.done = make(chan error, 1)
-	if s.isClosed() {
-		return ErrClosed
-	}
-	select {
-	case s.ops <- o:
-	case <-s.closed:
-		return ErrClosed
-	}
-	select {
-	case err := <-o.done:
+	if err := s.queue.addWaiting(o, s.closed); err != nil {
 		return err
-	case <-s.writerDone:
-	}
-	select {
-	case err := <-o.done:
-		return err
-	default:
-		return ErrClosed
-	}
-}
-
-// enqueue passes a deferred op to the writer without waiting. It returns false if the store is closed or too many
-// deferred ops are waiting.
-func (s *Store) enqueue(o op) bool {
-	if s.isClosed() {
-		return false
-	}
-	select {
-	case s.deferredOps <- o:
-		return true
-	default:
-		return false
 	}
+	return <-o.done // the writer executes each op of the queue before it ends
 }
 
 func (s *Store) isClosed() bool {
@@ -279,6 +251,7 @@
 		s.compactMu.Unlock()
 		return nil
 	}
+	s.queue.close()
 	close(s.closed)
 	s.compactMu.Unlock()
 	<-s.writerDone
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -15,96 +15,55 @@
 	defer syncTimer.Stop()
 	deferralTimer := newStoppedTimer()
 	defer deferralTimer.Stop()
+	isDeferring := false // deferralTimer runs
 	for {
-		var batch []op
+		isAwaited, hasOps := s.queue.state()
+		switch {
+		case isAwaited:
+			s.executeNext(syncTimer)
+			continue
+		case hasOps && !isDeferring:
+			deferralTimer.Reset(maxDeferral)
+			isDeferring = true
+		}
 		select {
-		case first := <-s.ops:
-			batch = s.gather(nil, first)
-		case first := <-s.deferredOps:
-			batch = s.awaitBatch(first, deferralTimer)
+		case <-s.queue.added:
+		case <-deferralTimer.C:
+			isDeferring = false
+			s.executeNext(syncTimer)
 		case <-syncTimer.C:
 			s.syncConfirmed()
 			if len(s.unsynced) > 0 { // the sync failed, and so did writing the ops again
 				syncTimer.Reset(s.options.SyncEvery)
 			}
-			continue
 		case <-s.closed:
-			batch = s.remaining()
-			if len(batch) == 0 {
-				s.syncConfirmed()
-				return
+			for s.executeNext(syncTimer) {
 			}
+			s.syncConfirmed()
+			return
 		}
-		allSynced := len(s.unsynced) == 0
-		s.execute(batch)
-		if allSynced && len(s.unsynced) > 0 {
-			syncTimer.Reset(s.options.SyncEvery)
-		}
-	}
-}
-
-func newStoppedTimer() *time.Timer {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return timer
-}
-
-// awaitBatch returns a batch that starts with a deferred op. It waits for up to maxDeferral, so that the batch contains
-// more deferred ops. It stops waiting when it receives an op for which a caller waits, and adds this op to the batch.
-func (s *Store) awaitBatch(first op, timer *time.Timer) []op {
-	batch := []op{first}
-	timer.Reset(maxDeferral)
-	select {
-	case <-timer.C:
-		return s.appendDeferred(batch)
-	case o := <-s.ops:
-		timer.Stop()
-		return s.gather(batch, o)
-	case <-s.closed:
-		return batch
 	}
 }
 
-// remaining returns a batch of ops that were requested before the store was closed, nil if there are none.
-func (s *Store) remaining() []op {
-	select {
-	case o := <-s.ops:
-		return s.gather(nil, o)
-	case o := <-s.deferredOps:
-		return s.appendDeferred([]op{o})
-	default:
-		return nil
+// executeNext executes the next batch of the queue, and starts the timer of the sync that the batch needs. It returns
+// false if the queue is empty.
+func (s *Store) executeNext(syncTimer *time.Timer) bool {
+	batch := s.queue.take()
+	if len(batch) == 0 {
+		return false
 	}
-}
-
-// gather returns a batch of the given and the waiting deferred ops, then first, which is an op for which a caller
-// waits, and then the other ops that wait in the queue. It stops after maxBatch ops for which callers wait, or after a
-// rotation. The deferred ops come first, so that they take effect before changes of the same key that were requested
-// after them. A deferred op that is requested while gather takes the other ops is left to the next batch: it then takes
-// effect after an op of this batch even if that op was requested after it.
-func (s *Store) gather(deferred []op, first op) []op {
-	batch := append(s.appendDeferred(deferred), first)
-	for n := 1; n < maxBatch && batch[len(batch)-1].rotate == nil; n++ {
-		select {
-		case o := <-s.ops:
-			batch = append(batch, o)
-		default:
-			return batch
-		}
+	allSynced := len(s.unsynced) == 0
+	s.execute(batch)
+	if allSynced && len(s.unsynced) > 0 {
+		syncTimer.Reset(s.options.SyncEvery)
 	}
-	return batch
+	return true
 }
 
-// appendDeferred appends all waiting deferred ops to a batch.
-func (s *Store) appendDeferred(batch []op) []op {
-	for {
-		select {
-		case o := <-s.deferredOps:
-			batch = append(batch, o)
-		default:
-			return batch
-		}
-	}
+func newStoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
 }
 
 // execute executes a batch. Only its last op may be a rotation.
