Rest each connection for 30 ms after each response, and wait for its end

HTTP/1.1 ties answers to requests by order alone, and Pool.get used a connection again at once; the rest of 30 ms began with the first unsolicited data that was seen, and ended after 10 s.

Change: the rest holds always. A request that finds only resting connections waits for the one whose rest ends first, where a new connection had cost too much to rest always. The check before the write then finds the copy and closes the connection.

Related paths: hedges, probes and GraphQL's parts use the same pool. Streams of gRPC have numbers, watch and complete list a connection for each call, gossip's acknowledgements the number of their probe; docs/design/crossings.md has the table. The checker of replayed traffic and of the soaks compares each answer with its request already (emulator.HTTPClient).

--- a/internal/transport/http1/conn.go
+++ b/internal/transport/http1/conn.go
@@ -16,6 +16,7 @@
 	limitedReader *io.LimitedReader // limits the bytes of one response
 	reader        *bufio.Reader     // reads from limitedReader
 	idleSince     time.Time         // when the connection was last returned to the pool; zero if never
+	respondedAt   time.Time         // when the last response was read to its end; zero if there was none
 	releaseSlot   func()            // frees the connection's slot; further calls have no effect
 
 	responsePauseTimeout time.Duration // longest pause within a response
--- a/internal/transport/http1/exchange.go
+++ b/internal/transport/http1/exchange.go
@@ -165,6 +165,7 @@
 	if resp == nil {
 		return failure
 	}
+	c.respondedAt = time.Now()
 	if stop() && !resp.Close {
 		returned = true
 		x.pool.put(x.endpoint, c)
@@ -201,7 +202,7 @@
 // write.
 func (x *exchange) prepare() (*conn, []byte, error) {
 	for {
-		c, err := x.pool.get(x.ctx, x.endpoint)
+		c, err := x.pool.get(x.ctx, x.endpoint) // waits, so that the deadline that the request states is set after it
 		if err != nil {
 			return nil, nil, err
 		}
@@ -214,11 +215,8 @@
 		if c.idleSince.IsZero() {
 			return c, request.Bytes(), nil
 		}
-		switch c.peek() {
-		case netpeek.Idle:
+		if c.peek() == netpeek.Idle {
 			return c, request.Bytes(), nil
-		case netpeek.Readable:
-			x.pool.recordUnsolicitedData()
 		}
 		x.pool.traceClose(x.endpoint.id, "closed by the endpoint, or unsolicited data")
 		_ = c.Close() // nothing was written to it
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -51,11 +51,10 @@
 	log              *slog.Logger
 	tracesCloses     func() bool // each closed connection is logged
 
-	mu                sync.Mutex
-	openConns         int
-	waiters           []chan struct{} // one for each exchange that waits for a slot, in order of arrival
-	endpoints         map[string]*endpoint
-	reuseDelayedUntil time.Time // reuseDelay applies until this time
+	mu        sync.Mutex
+	openConns int
+	waiters   []chan struct{} // one for each exchange that waits for a slot, in order of arrival
+	endpoints map[string]*endpoint
 }
 
 // endpoint holds the current process of an endpoint and the idle connections to it. It is guarded by the pool's mutex.
--- a/internal/transport/http1/reuse.go
+++ b/internal/transport/http1/reuse.go
@@ -13,34 +13,30 @@
 // endpoint closes the connection, and count as reset.
 const idleShare = 0.75
 
-const (
-	// reuseDelay is the minimum time between a response and the reuse of its connection, during reuseDelayPeriod. It
-	// prevents a second response, sent some milliseconds after the first, from being mistaken for the answer to the
-	// next request, because a response does not identify its request. With a higher value, more connections are needed.
-	// The delay does not apply at other times, because if all endpoints follow the protocol, the additional connections
-	// cost more than the delay saves.
-	reuseDelay = 30 * time.Millisecond
-	// reuseDelayPeriod is the time for which reuseDelay applies after an endpoint has sent unsolicited data. With a
-	// higher value, more connections are opened after each such event; with a lower one, more responses may be mistaken
-	// for answers to other requests.
-	reuseDelayPeriod = 10 * time.Second
-)
+// reuseDelay is the minimum time between a response and the next request on its connection. It prevents a second
+// response, sent some milliseconds after the first, from being mistaken for the answer to the next request, because a
+// response does not identify its request. With a higher value, requests wait longer for a connection, or more
+// connections are needed.
+const reuseDelay = 30 * time.Millisecond
 
-// get returns the connection to e that a request is written to: the most recently used idle connection, or a new one.
-// It closes connections that have been idle for maxIdle or longer. Until reuseDelayedUntil, it ignores connections that
-// have been idle for less than reuseDelay. If the connection limit is reached, it closes the longest idle connection of
-// some endpoint for the new one. It returns errConnLimit if there is no slot.
+// get returns the connection to e that a request is written to: the most recently used one whose reuseDelay is over, or
+// else the one whose reuseDelay ends next, for which it waits, or else a new one. It closes connections that have been
+// idle for maxIdle or longer. If the connection limit is reached, it closes the longest idle connection of some
+// endpoint for the new one. It returns errConnLimit if there is no slot.
+//
+// Guard: prevents a second response that arrives after the first byte of the next request from being mistaken for the
+// answer to that request: a client would get another client's answer. This holds for second responses that arrive
+// within reuseDelay, because prepare then finds unread data on the connection and closes it. Later ones cannot be
+// detected if the connection is in use, because a response does not identify its request.
 func (p *Pool) get(ctx context.Context, e *endpoint) (*conn, error) {
 	p.mu.Lock()
 	to := e.process
 	now := time.Now()
 	p.closeExpired(e, now)
-	for i, c := range slices.Backward(e.idle) {
-		if now.After(p.reuseDelayedUntil) || now.Sub(c.idleSince) >= p.reuseDelay {
-			e.idle = slices.Delete(e.idle, i, i+1)
-			p.mu.Unlock()
-			return c, nil
-		}
+	if len(e.idle) > 0 {
+		c := takeIdle(e, now.Add(-p.reuseDelay))
+		p.mu.Unlock()
+		return c, p.awaitReuseDelay(ctx, e, c)
 	}
 	for _, other := range p.endpoints {
 		if p.openConns >= p.maxConns && len(other.idle) > 0 {
@@ -53,6 +49,42 @@
 	return p.dial(ctx, to)
 }
 
+// takeIdle removes a connection from e.idle, which is not empty, and returns it: the most recently used one with a
+// response before the given time, or else the one with the earliest response. The caller holds p.mu.
+func takeIdle(e *endpoint, respondedBefore time.Time) *conn {
+	taken := 0
+	for i, c := range slices.Backward(e.idle) {
+		if c.respondedAt.Before(respondedBefore) {
+			taken = i
+			break
+		}
+		if c.respondedAt.Before(e.idle[taken].respondedAt) {
+			taken = i
+		}
+	}
+	c := e.idle[taken]
+	e.idle = slices.Delete(e.idle, taken, taken+1)
+	return c
+}
+
+// awaitReuseDelay waits until reuseDelay has passed since the last response on c. If ctx ends before, it returns c to
+// the pool, and an error.
+func (p *Pool) awaitReuseDelay(ctx context.Context, e *endpoint, c *conn) error {
+	wait := time.Until(c.respondedAt.Add(p.reuseDelay))
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		p.put(e, c)
+		return ctx.Err()
+	}
+}
+
 // put stores an idle connection in the pool: its response was read to its end, or no request was written to it. It
 // closes the connection instead if unread bytes remain, if e is draining, removed or no longer the process that the
 // connection was opened to, or if other exchanges wait for its slot.
@@ -74,18 +106,6 @@
 	_ = c.Close() // it carries no request
 }
 
-// recordUnsolicitedData starts a reuseDelayPeriod after data has arrived on an idle connection.
-//
-// Guard: prevents a second response that arrives after the first byte of the next request from being mistaken for the
-// answer to that request: a client would get another client's answer. This holds after the first unsolicited response
-// was detected, for responses that arrive within reuseDelay. Other second responses cannot be detected, because a
-// response does not identify its request.
-func (p *Pool) recordUnsolicitedData() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reuseDelayedUntil = time.Now().Add(reuseDelayPeriod)
-}
-
 // closeExpired closes the connections to e that have been idle for too long. The caller holds p.mu.
 func (p *Pool) closeExpired(e *endpoint, now time.Time) {
 	n := 0
