Send nothing that the idempotency records have no room for

The log has the full table as the error of a failing disk right before it.

Change: the tracker keeps as many entries again that are not stored, if requests continue, and an attempt is sent only once it has an entry. Beyond that it is rejected unsent. This works since no path sends an attempt without an entry: the pair of no attempt and no error is gone.

--- a/internal/idempotency/decisions.go
+++ b/internal/idempotency/decisions.go
@@ -30,7 +30,10 @@
 	AwaitWrite
 	// Forbid means that the attempt must not be sent.
 	Forbid
-	// TableFull means that the attempt needs a new entry and that there are Config.MaxEntries already.
+	// SendUnstored means that the attempt may be sent, and is remembered until the program ends. Its record is not to
+	// be stored, because there are Config.MaxEntries others.
+	SendUnstored
+	// TableFull means that the attempt needs a new entry and that there is no room for it.
 	TableFull
 )
 
@@ -73,7 +76,9 @@
 //     attempt that waited while another request with the fingerprint was sent from executing the operation again.
 //   - The record of the fingerprint must be durable before the attempt is sent. This prevents a duplicate from
 //     executing the operation again after a restart.
-//   - If the fingerprint had no attempt before, the number of entries must be below Config.MaxEntries.
+//   - If the fingerprint had no attempt before, the number of entries must be below Config.MaxEntries, or below
+//     Config.MaxUnstored more than that. This prevents an attempt that may have run from being forgotten, however many
+//     there are.
 //
 // Unless the decision is Forbid or TableFull, the caller calls EndAttempt once. If the decision is WriteRecord, the
 // caller calls RecordWritten before EndAttempt, when the returned record is durable or could not be written.
@@ -87,9 +92,11 @@
 		return Forbid, nil, Record{}
 	}
 	if e.intendedAt == 0 {
-		if len(t.byExpiry)-t.releasedCount >= t.config.MaxEntries {
+		entries := len(t.byExpiry) - t.releasedCount
+		if entries >= t.config.MaxEntries+t.config.MaxUnstored {
 			return TableFull, nil, Record{}
 		}
+		e.isUnstored = entries >= t.config.MaxEntries
 		e.intendedAt = now.Time
 		e.expiresAt = now.Time + Time(t.config.Retention.Milliseconds())
 		t.byExpiry = append(t.byExpiry, e)
@@ -100,6 +107,8 @@
 	t.open[fp] = e
 	attempt := &Attempt{entry: e, location: l}
 	switch {
+	case e.isUnstored:
+		return SendUnstored, attempt, Record{}
 	case l.isDurable:
 		return Send, attempt, Record{}
 	case e.writeInFlight:
--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -20,6 +20,7 @@
 	writeInFlight  bool // the record is being written
 	writeAttempted bool // a write of the record was started, so that the record may be stored
 	isReleased     bool // no longer needed, but still in Tracker.byExpiry until expire or release removes it
+	isUnstored     bool // remembered without a stored record, because there were Config.MaxEntries others
 	isRestored     bool // restored from an earlier run of the program
 }
 
--- a/internal/idempotency/middleware/middleware.go
+++ b/internal/idempotency/middleware/middleware.go
@@ -35,7 +35,7 @@
 // The failure policies.
 const (
 	RejectOnFailure   FailurePolicy = "refuse"   // attempts are not sent, and their requests are rejected
-	ContinueOnFailure FailurePolicy = "continue" // attempts are sent, and remembered at most until the process ends
+	ContinueOnFailure FailurePolicy = "continue" // attempts are sent, and remembered until the process ends
 )
 
 // Config configures a Deduplicator.
@@ -44,7 +44,9 @@
 	Durability Durability
 	OnFailure  FailurePolicy
 	Retention  time.Duration // see idempotency.Config
-	MaxEntries int           // see idempotency.Config
+	// MaxEntries is the limit on stored entries; see idempotency.Config. With ContinueOnFailure, as many again are
+	// remembered until the process ends.
+	MaxEntries int
 	// RetryAfter is the Retry-After time of requests that are rejected before any attempt while intents cannot be made
 	// durable; with 0, these rejections have no Retry-After.
 	RetryAfter time.Duration
@@ -61,7 +63,7 @@
 
 var (
 	errNotDurable   = errors.New("intent of the attempt could not be made durable")
-	errTableFull    = errors.New("number of remembered idempotency records has reached max_entries")
+	errTableFull    = errors.New("number of idempotency records has reached max_entries")
 	errForbidden    = errors.New("earlier attempt may have run outside the idempotency scope or window of this attempt")
 	errAbandoned    = errors.New("attempt was cancelled before its intent was durable")
 	errWriteTimeout = errors.New("attempt timed out before its intent was durable")
@@ -77,12 +79,15 @@
 	clock   idempotency.Clock
 	writers sync.WaitGroup // goroutines that write to the store
 
-	mu       sync.Mutex
-	tracker  *idempotency.Tracker
-	failure  writeFailure
-	counters counters
-	waits    waitTimes                                 // durations of the latest writes
-	writes   map[idempotency.Fingerprint]chan struct{} // writes in flight; each channel is closed when its write ends
+	mu      sync.Mutex
+	tracker *idempotency.Tracker
+	failure writeFailure
+	// tableFullSince is when the tracker had Config.MaxEntries entries, zero if it has fewer.
+	tableFullSince time.Time
+	counters       counters
+	waits          waitTimes // durations of the latest writes
+	// writes has the writes in flight. Each channel is closed when its write ends.
+	writes map[idempotency.Fingerprint]chan struct{}
 }
 
 // counters holds the counters of Status.
@@ -102,9 +107,10 @@
 		scopes:  map[string]balancer.IdempotencyScope{},
 		writes:  map[idempotency.Fingerprint]chan struct{}{},
 		tracker: idempotency.New(idempotency.Config{
-			Classes:    config.Classes,
-			Retention:  config.Retention,
-			MaxEntries: config.MaxEntries,
+			Classes:     config.Classes,
+			Retention:   config.Retention,
+			MaxEntries:  config.MaxEntries,
+			MaxUnstored: maxUnstored(&config),
 		}),
 	}
 	for _, class := range config.Classes {
@@ -121,6 +127,14 @@
 	return d, nil
 }
 
+// maxUnstored returns how many entries beyond Config.MaxEntries may be remembered without being stored.
+func maxUnstored(c *Config) int {
+	if c.OnFailure == ContinueOnFailure {
+		return c.MaxEntries
+	}
+	return 0
+}
+
 // Close waits for the writes in flight and closes the write-ahead log.
 func (d *Deduplicator) Close() error {
 	d.writers.Wait()
--- a/internal/idempotency/middleware/status.go
+++ b/internal/idempotency/middleware/status.go
@@ -10,7 +10,7 @@
 // Status describes a Deduplicator for operators.
 type Status struct {
 	Durability   Durability    `json:"durability"`
-	WriteFailure string        `json:"trouble,omitempty"` // latest failure; empty once a write succeeds
+	WriteFailure string        `json:"trouble,omitempty"` // latest failure, or a full table; empty once it is over
 	OnFailure    FailurePolicy `json:"on_failure"`
 
 	Remembered        int     `json:"remembered"`    // number of fingerprints
@@ -19,7 +19,7 @@
 	OldestOpenSeconds float64 `json:"oldest_open_s"` // age of the oldest intent of these fingerprints
 
 	Failed     uint64 `json:"failed"`    // requests that failed because their operation may already have run
-	Rejected   uint64 `json:"refused"`   // requests and attempts whose intent could not be made durable
+	Rejected   uint64 `json:"refused"`   // requests and attempts whose intent could not be made durable or remembered
 	NotDurable uint64 `json:"undurable"` // attempts that were sent without a durable intent, with ContinueOnFailure
 	// UnrecordedOutcomes is the number of outcomes that could not be stored. Their records on disk stay as they were.
 	UnrecordedOutcomes uint64 `json:"unclosed"`
@@ -50,8 +50,11 @@
 	if tracked.OldestOpen > 0 {
 		status.OldestOpenSeconds = float64(now.Time-tracked.OldestOpen) / msPerSecond
 	}
-	if d.failure.err != nil {
+	switch {
+	case d.failure.err != nil:
 		status.WriteFailure = d.failure.err.Error()
+	case !d.tableFullSince.IsZero():
+		status.WriteFailure = errTableFull.Error()
 	}
 	waits := d.waits
 	d.mu.Unlock()
--- a/internal/idempotency/middleware/transport.go
+++ b/internal/idempotency/middleware/transport.go
@@ -88,9 +88,7 @@
 	waited := time.Since(waitStart)
 	outcome := x.Exchange.Run(begin)
 	outcome.Elapsed = max(0, outcome.Elapsed-waited)
-	if attempt != nil {
-		x.deduplicator.endAttempt(x.fingerprint, attempt, outcome.Result.MayHaveRun(), outcome.Final)
-	}
+	x.deduplicator.endAttempt(x.fingerprint, attempt, outcome.Result.MayHaveRun(), outcome.Final)
 	return outcome
 }
 
@@ -140,12 +138,11 @@
 }
 
 // awaitIntent registers the intent of an attempt, waits until the intent is durable or could not be stored, and decides
-// whether the attempt may be sent. The error is the reason why the attempt must not be sent. If both the returned
-// attempt and the error are nil, the attempt may be sent and is not remembered.
+// whether the attempt may be sent. The error is the reason why the attempt must not be sent.
 func (x *exchange) awaitIntent() (*idempotency.Attempt, error) {
 	d := x.deduplicator
 	attempt, written, err := d.beginAttempt(x.fingerprint, x.location)
-	if attempt == nil {
+	if err != nil {
 		return nil, err
 	}
 	err = x.awaitWrite(written)
--- a/internal/idempotency/middleware/wal.go
+++ b/internal/idempotency/middleware/wal.go
@@ -20,9 +20,9 @@
 	clockKey = "clock"
 	// clockRetention is how long the clock's state is stored. It is longer than any record is stored.
 	clockRetention = 100 * 365 * 24 * time.Hour
-	// retryWriteAfter is the time after a failed write, or after an attempt for which the table was full, during which
-	// no other write is tried, with RejectOnFailure. With a higher value requests are rejected for longer after the
-	// disk works again; with a lower one more attempts wait for a disk that fails.
+	// retryWriteAfter is the time after a failed write during which no other write is tried, with RejectOnFailure. With
+	// a higher value requests are rejected for longer after the disk works again; with a lower one more attempts wait
+	// for a disk that fails.
 	retryWriteAfter = time.Second
 	// storeSlack is added to the expiry times of records in the store, so that a record expires by the tracker's clock
 	// before the store drops it. A higher value costs disk space; with a lower one a difference between the clocks
@@ -30,8 +30,7 @@
 	storeSlack = time.Minute
 )
 
-// writeFailure describes the current series of failed writes. An attempt for which the table is full counts as a failed
-// write. Deduplicator.mu protects writeFailure.
+// writeFailure describes the current series of failed writes. Deduplicator.mu protects writeFailure.
 type writeFailure struct {
 	err     error     // error of the latest write; nil if it succeeded
 	since   time.Time // time of the first failure of the series
@@ -130,12 +129,13 @@
 // storeExpiry returns when a record that expires at t expires in the store.
 func storeExpiry(t idempotency.Time) time.Time { return wallTime(t).Add(storeSlack) }
 
-// beginAttempt registers the intent of an attempt, and starts to write its record if necessary. If the table is full,
-// Config.OnFailure decides whether the attempt is rejected, or sent without being remembered.
+// beginAttempt registers the intent of an attempt, and starts to write its record if necessary. The returned channel is
+// closed when the write that the attempt has to wait for has ended. It is nil if the attempt does not have to wait. If
+// the returned attempt is nil, the error is the reason why the attempt must not be sent.
 //
-// The returned channel is closed when the write that the attempt has to wait for has ended. It is nil if the attempt
-// does not have to wait. If the returned attempt is nil, the error is the reason why the attempt must not be sent; if
-// the error is nil as well, the attempt may be sent and is not remembered.
+// Guard: prevents a request from running twice after its first attempt was sent without being remembered, because the
+// table was full. This holds because, with either policy, an attempt is sent only once the tracker has its entry.
+// Config.OnFailure decides whether an entry that is in memory and not durable is enough.
 func (d *Deduplicator) beginAttempt(
 	fp idempotency.Fingerprint, at balancer.Location,
 ) (*idempotency.Attempt, <-chan struct{}, error) {
@@ -146,14 +146,14 @@
 	case idempotency.Forbid:
 		return nil, nil, errForbidden
 	case idempotency.TableFull:
-		d.writeFailed(errTableFull)
-		if d.config.OnFailure == ContinueOnFailure {
-			d.counters.notDurable++
-			return nil, nil, nil
-		}
+		d.tableFull()
 		d.counters.rejected++
 		return nil, nil, errTableFull
+	case idempotency.SendUnstored:
+		d.tableFull()
+		return attempt, nil, nil
 	case idempotency.WriteRecord:
+		d.tableHasRoom()
 		if d.rejectsWrites() {
 			d.counters.rejected++
 			d.tracker.RecordWritten(attempt, false)
@@ -258,8 +258,28 @@
 	return d.failure.err != nil && d.config.OnFailure == RejectOnFailure && time.Now().Before(d.failure.retryAt)
 }
 
-// writeFailed records that a write failed or that the table is full, and logs the first failure of a series. The caller
+// tableFull records that there are Config.MaxEntries entries, and logs the first attempt of a series that finds so. The
+// caller holds the lock.
+func (d *Deduplicator) tableFull() {
+	if d.tableFullSince.IsZero() {
+		d.tableFullSince = time.Now()
+		d.logger.Error("no room to store further idempotency records",
+			"max_entries", d.config.MaxEntries, "on_failure", string(d.config.OnFailure))
+	}
+}
+
+// tableHasRoom records that there are fewer than Config.MaxEntries entries, and logs it if there were not. The caller
 // holds the lock.
+func (d *Deduplicator) tableHasRoom() {
+	if d.tableFullSince.IsZero() {
+		return
+	}
+	d.logger.Info("room to store idempotency records again",
+		"full_for", time.Since(d.tableFullSince).Round(time.Millisecond))
+	d.tableFullSince = time.Time{}
+}
+
+// writeFailed records that a write failed, and logs the first failure of a series. The caller holds the lock.
 func (d *Deduplicator) writeFailed(err error) {
 	if d.failure.err == nil {
 		d.failure.since = time.Now()
--- a/internal/idempotency/tracker.go
+++ b/internal/idempotency/tracker.go
@@ -16,9 +16,12 @@
 	// class. A higher value costs memory and disk, and makes duplicates fail for longer; with a lower one a duplicate
 	// may run a second time.
 	Retention time.Duration
-	// MaxEntries limits the number of fingerprints that are remembered. When it is reached, BeginAttempt returns
-	// TableFull. A higher value costs memory; with a lower one, requests are rejected at a lower request rate.
+	// MaxEntries limits the number of fingerprints that are remembered and stored. A higher value costs memory and
+	// disk; with a lower one, requests are rejected, or remembered without being stored, at a lower request rate.
 	MaxEntries int
+	// MaxUnstored limits the number of fingerprints beyond MaxEntries that are remembered without being stored, so that
+	// a restart of the program forgets them. When it is reached, BeginAttempt returns TableFull.
+	MaxUnstored int
 }
 
 // Tracker tracks which requests may have run. It is not safe for concurrent use.
@@ -144,6 +147,9 @@
 	if e.state == StateOpen {
 		e.state = StateUnknown
 	}
+	if e.isUnstored {
+		return Update{}
+	}
 	return Update{Kind: PutRecord, Record: e.record()}
 }
 
--- a/internal/idempotency/tracker_test.go
+++ b/internal/idempotency/tracker_test.go
@@ -16,11 +16,12 @@
 var (
 	requestDecisionNames = map[RequestDecision]string{Admit: "proceed", FailRequest: "fail"}
 	attemptDecisionNames = map[AttemptDecision]string{
-		Send:        "send",
-		WriteRecord: "write",
-		AwaitWrite:  "await",
-		Forbid:      "forbid",
-		TableFull:   "full",
+		Send:         "send",
+		WriteRecord:  "write",
+		AwaitWrite:   "await",
+		Forbid:       "forbid",
+		SendUnstored: "send unstored",
+		TableFull:    "full",
 	}
 	updateNames = map[UpdateKind]string{NoUpdate: "none", PutRecord: "put", DeleteRecord: "delete"}
 	stateNames  = map[State]string{StateOpen: "open", StateUnknown: "unknown", StateExecuted: "executed"}
@@ -204,6 +205,7 @@
 			}
 			r = &scriptRun{machine: newMachine(100), fingerprints: map[string]Fingerprint{}}
 			d.MaybeScanArgs(t, "max_entries", &r.maxEntries)
+			d.MaybeScanArgs(t, "max_unstored", &r.maxUnstored)
 			r.start(t)
 			return ""
 		})
