Let a sidecar that knows no other one subscribe to an origin after its delay

While it waits for its random delay it probes an origin, and each success was reported as if it were subscribed: ReportSuccess forgot the delay, and the next Select drew another one.

Change: a probe is reported by ReportReachable, which ends the exclusion of the origins and nothing else. The delay that was drawn stays, and ends. Members that leave a peer after a probe report it the same way.

Related paths: the relay of the endpoint list uses the selector without probes. That a member never leaves an origin, and the exit status of config push, are faults of their own.

--- a/internal/controlplane/transport/helpers_test.go
+++ b/internal/controlplane/transport/helpers_test.go
@@ -139,17 +139,25 @@
 // startMember starts a member. If dir is empty, the member stores no snapshot.
 func startMember(t *testing.T, name, dir string, origins ...string) *testMember {
 	t.Helper()
-	return startMemberWithParser(t, controlplane.ParseSnapshot, name, dir, origins...)
+	return startMemberWithConfig(t, func(*MemberConfig) {}, name, dir, origins...)
 }
 
 // startMemberWithParser starts a member that parses snapshots with parse.
 func startMemberWithParser(
 	t *testing.T, parse func([]byte) (*controlplane.Snapshot, error), name, dir string, origins ...string,
+) *testMember {
+	t.Helper()
+	return startMemberWithConfig(t, func(c *MemberConfig) { c.Follower.Parse = parse }, name, dir, origins...)
+}
+
+// startMemberWithConfig starts a member whose configuration change has changed.
+func startMemberWithConfig(
+	t *testing.T, change func(*MemberConfig), name, dir string, origins ...string,
 ) *testMember {
 	t.Helper()
 	m := new(testMember)
-	var err error
-	m.Member, err = NewMember(MemberConfig{
+	parse := controlplane.ParseSnapshot
+	cfg := MemberConfig{
 		Follower:       controlplane.FollowerConfig{Cluster: testCluster, Self: name, Parse: parse},
 		Origins:        origins,
 		MaxSubscribers: 4,
@@ -157,8 +165,10 @@
 		Selector:       bootstrap.Config{Self: name, Roots: 1, FanOut: 2, ConfiguredSize: 1, RandomSeed: 1},
 		Log:            slog.New(slog.DiscardHandler),
 		Apply:          m.apply,
-	})
-	if err != nil {
+	}
+	change(&cfg)
+	var err error
+	if m.Member, err = NewMember(cfg); err != nil {
 		t.Fatal(err)
 	}
 	server := httptest.NewServer(m.Handler())
--- a/internal/controlplane/transport/member_test.go
+++ b/internal/controlplane/transport/member_test.go
@@ -100,6 +100,18 @@
 	}
 }
 
+// Guards against a member that never gets the configuration: it is one of many, and has reached none of them since its
+// start, so that it may subscribe to an origin only after a random delay, here of up to 3 s. Its probes of the origin
+// must not draw the delay again.
+func TestIsolatedMemberGetsTheSnapshot(t *testing.T) {
+	t.Parallel()
+	upstream := newFakeUpstream(t, "o1", nil)
+	upstream.publish(testFrame(1, "# one"))
+	const size = 60
+	m := startMemberWithConfig(t, func(c *MemberConfig) { c.Selector.ConfiguredSize = size }, "m1", "", upstream.addr)
+	awaitVersion(t, "version 1 is active at the isolated member", 1, m)
+}
+
 // An origin that does not participate in the consensus receives no changes, so its subscribers would keep an old
 // configuration. They have to switch to another origin that participates, and stay as long as there is none.
 func TestSubscriberLeavesNonParticipatingOrigin(t *testing.T) {
--- a/internal/controlplane/transport/upstream.go
+++ b/internal/controlplane/transport/upstream.go
@@ -249,8 +249,8 @@
 }
 
 // probeNextOrigin probes the next origin and reports whether it participates. With acceptNonParticipating, it also
-// returns true for an origin that responds that it does not participate. Before it returns true, it reports the success
-// to the selector.
+// returns true for an origin that responds that it does not participate. Before it returns true, it tells the
+// selector that an origin can be reached.
 //
 // The selector avoids an origin for some time after it was unreachable. Without probes, a member would stay with a
 // peer, or without an upstream, until this time has passed, although the network has recovered. Only members that
@@ -268,7 +268,7 @@
 		return false
 	}
 	m.mu.Lock()
-	m.selector.ReportSuccess(m.now(), bootstrap.Selection{Discovery: true})
+	m.selector.ReportReachable(bootstrap.Selection{Discovery: true})
 	m.mu.Unlock()
 	return true
 }
--- a/internal/discovery/bootstrap/selector.go
+++ b/internal/discovery/bootstrap/selector.go
@@ -141,6 +141,12 @@
 	s.exclusions.remove(selected.sourceName())
 }
 
+// ReportReachable records that a source that was not selected can be reached again, so that it may be selected.
+//
+// Guard: prevents a member that has reached no other one from never calling the discovery service: each successful
+// probe would draw a new delay for it. This holds because the delay that was drawn stays.
+func (s *Selector) ReportReachable(source Selection) { s.exclusions.remove(source.sourceName()) }
+
 // ReportFailure records that the selected source does not deliver the list, or has stopped delivering it.
 func (s *Selector) ReportFailure(now time.Duration, selected Selection) {
 	s.working = false
--- a/internal/discovery/bootstrap/selector_test.go
+++ b/internal/discovery/bootstrap/selector_test.go
@@ -137,6 +137,44 @@
 	})
 }
 
+// Guards against a member that never calls the discovery service although it can be reached: it has reached no other
+// member, or is a root, and probes the service while it waits. The service fails until a random time. The member must
+// call it within the time that its random delay and the pause between two probes can take.
+func TestIsolatedMemberCallsTheDiscoveryService(t *testing.T) {
+	const probeInterval, callDuration = time.Second, 100 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 200).Draw(t, "size")
+		s := New(Config{
+			Self:           "m0",
+			Roots:          3,
+			FanOut:         4,
+			MaxCallRate:    10,
+			ConfiguredSize: size,
+			RandomSeed:     rapid.Uint64().Draw(t, "seed"),
+		}, 0)
+		worksAt := time.Duration(rapid.IntRange(0, 60_000).Draw(t, "ms until the service works")) * time.Millisecond
+		latest := max(worksAt, maxJoinDelay) + time.Duration(size)*time.Second/10 + probeInterval + 2*callDuration
+		for now := time.Duration(0); ; {
+			if now > latest {
+				t.Fatalf("not called by %v, want a call by %v", now, latest)
+			}
+			selected := s.Select(now)
+			switch {
+			case selected.Discovery && now >= worksAt:
+				return
+			case selected.Discovery:
+				s.ReportFailure(now, selected)
+				now += callDuration
+			default:
+				now += min(selected.Delay, probeInterval)
+				if now >= worksAt { // the probe succeeds
+					s.ReportReachable(Selection{Discovery: true})
+				}
+			}
+		}
+	})
+}
+
 // firstDiscoveryCall returns when the selector first returns the discovery service if all peers fail.
 func firstDiscoveryCall(s *Selector) time.Duration {
 	for now := time.Duration(0); ; {
