Test of a propagated change: wait until the member has recorded the version

The state that it printed has version 3 as published and highest, and version 2 as active: the test waited for Apply to be called with version 3, and read the state before Apply's return had reached the member's event loop. The member is right.

Change: it waits for the same state, which must come within the usual time. All its conditions are kept.

--- a/internal/controlplane/transport/member_test.go
+++ b/internal/controlplane/transport/member_test.go
@@ -57,10 +57,11 @@
 	used.fail()
 	other.publish(testFrame(3, "# three"))
 	awaitVersion(t, "version 3 of the other origin is active at both members", 3, first, second)
-	state, _ := first.State()
-	if !state.Ready || state.Active.Version != 3 || state.Upstream != other.self || state.FromCache {
-		t.Errorf("state is %+v, want version 3 from %s active", state, other.self)
-	}
+	// Apply has returned, or is about to; the member records the version as active after that.
+	testutil.Until(t, "the first member's state has version 3, from the other origin", func() bool {
+		state, _ := first.State()
+		return state.Ready && state.Active.Version == 3 && state.Upstream == other.self && !state.FromCache
+	})
 }
 
 // A member of an older program version rejects a snapshot with an unknown key and keeps the last valid snapshot
