Let a member leave an origin for a peer that it should follow

Change: it asks the selector for both.

TestChangePropagatesAndIsReported waited until the reports of both origins together counted two members, and took the one with any as the tree's. It now waits for one report that counts both, which is stricter, and so does not depend on who came first.

Measured: TestMemberLeavesTheOriginForAPeer times out before and passes now.

--- a/internal/controlplane/transport/member_test.go
+++ b/internal/controlplane/transport/member_test.go
@@ -39,14 +39,14 @@
 	second := startMember(t, "m2", t.TempDir(), origins[0].addr, origins[1].addr)
 	introduce(first, second)
 	awaitVersion(t, "version 1 is active at both members", 1, second)
-	testutil.Until(t, "the origins have reports of both members", func() bool {
-		return reportedMembers(origins[0].currentReports())+reportedMembers(origins[1].currentReports()) == 2
-	})
 	// used is the origin that the top of the tree subscribes to.
 	used, other := origins[0], origins[1]
-	if reportedMembers(other.currentReports()) > 0 {
-		used, other = other, used
-	}
+	testutil.Until(t, "one of the origins has a report that counts both members", func() bool {
+		if reportedMembers(other.currentReports()) == 2 {
+			used, other = other, used
+		}
+		return reportedMembers(used.currentReports()) == 2
+	})
 	publish(testFrame(2, "# two"))
 	awaitVersion(t, "version 2 is active at both members", 2, first, second)
 	testutil.Until(t, "the origin has a report that version 2 is active at both members", func() bool {
@@ -113,6 +113,25 @@
 	awaitVersion(t, "version 1 is active at the isolated member", 1, m)
 }
 
+// Guards against origins that keep all subscribers which did not know a peer when they started: one of two members that
+// subscribed to an origin before they knew each other has to leave it for the other, while the first stays.
+func TestMemberLeavesTheOriginForAPeer(t *testing.T) {
+	t.Parallel()
+	upstream := newFakeUpstream(t, "o1", nil)
+	upstream.publish(testFrame(1, "# one"))
+	first, second := startMember(t, "m1", "", upstream.addr), startMember(t, "m2", "", upstream.addr)
+	awaitVersion(t, "version 1 is active at both members", 1, first, second)
+	testutil.Until(t, "both members subscribe to the origin", func() bool {
+		return first.subscribesTo("o1") && second.subscribesTo("o1")
+	})
+	introduce(first, second)
+	testutil.Until(t, "one of the members subscribes to the other", func() bool {
+		return first.subscribesTo("m2") || second.subscribesTo("m1")
+	})
+	upstream.publish(testFrame(2, "# two"))
+	awaitVersion(t, "version 2 is active at both members", 2, first, second)
+}
+
 // An origin that does not participate in the consensus receives no changes, so its subscribers would keep an old
 // configuration. They have to switch to another origin that participates, and stay as long as there is none.
 func TestSubscriberLeavesNonParticipatingOrigin(t *testing.T) {
--- a/internal/controlplane/transport/upstream.go
+++ b/internal/controlplane/transport/upstream.go
@@ -217,10 +217,11 @@
 // awaitBetterUpstream ends the subscription when there is a better upstream. It checks this every
 // upstreamCheckInterval.
 //
-// A subscription to a peer ends when the selector prefers another upstream, or when this member should subscribe to an
-// origin and one participates. A subscription to an origin that does not participate ends when another origin does.
-// Otherwise a whole cluster could stay subscribed to an origin that receives no changes, because it was the only
-// reachable one for some time.
+// A subscription ends when the selector prefers another upstream. For a member that should not subscribe to an origin,
+// this is a peer; otherwise the origins would keep all subscribers that did not know a peer when they started. A
+// subscription to a peer also ends when this member should subscribe to an origin and one participates. A subscription
+// to an origin that does not participate ends when another origin does. Otherwise a whole cluster could stay subscribed
+// to an origin that receives no changes, because it was the only reachable one for some time.
 func (s *upstreamSession) awaitBetterUpstream(ctx context.Context, leave context.CancelCauseFunc) {
 	for sleep(ctx, upstreamCheckInterval) {
 		if s.hasBetterUpstream(ctx) {
@@ -232,13 +233,17 @@
 
 func (s *upstreamSession) hasBetterUpstream(ctx context.Context) bool {
 	m := s.member
-	if s.selection.Discovery {
-		return s.nonParticipating.Load() && m.probeNextOrigin(ctx, &s.originIndex, false)
-	}
 	m.mu.Lock()
-	isBetter := m.selector.ShouldSwitch(m.now(), s.selection)
+	shouldSwitch := m.selector.ShouldSwitch(m.now(), s.selection)
 	m.mu.Unlock()
-	return isBetter || m.shouldFollowOrigin() && m.probeNextOrigin(ctx, &s.originIndex, false)
+	if shouldSwitch {
+		return true
+	}
+	mayProbe := m.shouldFollowOrigin()
+	if s.selection.Discovery {
+		mayProbe = s.nonParticipating.Load()
+	}
+	return mayProbe && m.probeNextOrigin(ctx, &s.originIndex, false)
 }
 
 // shouldFollowOrigin reports whether this member is a root of the tree, which should subscribe to an origin.
