Answer a repeated push of the configuration with unknown, not refused

The random histories proposed changes again, and exempted these from the check.

Change: only a push that says that it is the first under its ID (first=1, which config push sends without --id) is refused for the state of the origin; a repeat is unknown. A conflict needs that the origin remembers which change became the next version: an accepted change whose outcome was forgotten was answered so.

The histories no longer exempt a change that was proposed again: a rejection after which nothing was proposed, while nothing waited, must stay one. TestAllStoresRolledBack pushes under an ID for each origin, since it is about new pushes.

Related paths: invalid texts and IDs are refused as before; show and queries are unknown without a majority already.

--- a/cmd/hazelwing/config_push.go
+++ b/cmd/hazelwing/config_push.go
@@ -101,7 +101,7 @@
 	id := cmp.Or(o.id, rand.Text())
 	startedAt := time.Now()
 	result, err := callOrigin(ctx, func(ctx context.Context) (origin.Result, error) {
-		return client.Push(ctx, id, after, text)
+		return client.Push(ctx, id, after, text, o.id == "")
 	})
 	if err != nil {
 		return nil, fmt.Errorf("config: %w; the outcome of the push is unknown: repeat it with --id %s --after %d",
--- a/cmd/hazelwing/configcommand_test.go
+++ b/cmd/hazelwing/configcommand_test.go
@@ -123,13 +123,13 @@
 	}
 	// The origin validates the snapshot if the command does not.
 	client := transport.NewClient("rig", r.OriginAddr(1))
-	result, err := client.Push(r.t.Context(), "three", 1, []byte("[limits]\nmax_attempts = 99\n"))
+	result, err := client.Push(r.t.Context(), "three", 1, []byte("[limits]\nmax_attempts = 99\n"), false)
 	if err != nil || result.Outcome != origin.OutcomeRejected ||
 		!strings.Contains(result.Error, "2:1: limits.max_attempts") {
 		r.t.Errorf("push of an invalid snapshot to the origin: %+v, error %v, want it rejected at 2:1", result, err)
 	}
 	foreignClient := transport.NewClient("other", r.OriginAddr(1))
-	_, err = foreignClient.Push(r.t.Context(), "four", 1, validText)
+	_, err = foreignClient.Push(r.t.Context(), "four", 1, validText, false)
 	if err == nil || !strings.Contains(err.Error(), "another fleet's") {
 		r.t.Errorf("push for another cluster: error %v, want one that contains \"another fleet's\"", err)
 	}
--- a/cmd/hazelwing/configlong_test.go
+++ b/cmd/hazelwing/configlong_test.go
@@ -91,7 +91,7 @@
 					continue
 				}
 				result, err := client.Push(r.t.Context(), fmt.Sprintf("flood-%d-%d", i, j),
-					latest.Result.Revision.Version, fmt.Appendf(nil, "# flood %d %d\n", i, j))
+					latest.Result.Revision.Version, fmt.Appendf(nil, "# flood %d %d\n", i, j), false)
 				if err == nil && result.Outcome == origin.OutcomeAccepted {
 					accepted[i]++
 				}
--- a/internal/controlplane/origin/events.go
+++ b/internal/controlplane/origin/events.go
@@ -20,6 +20,9 @@
 	ID          string
 	BaseVersion uint64
 	Text        []byte
+	// First means that the change was never proposed before, at no origin. Otherwise it may be in the log of an origin,
+	// and may still take effect although this attempt is not proposed to raft.
+	First bool
 }
 
 // QueryOutcome requests the outcome of the change with this ID. Each QueryOutcome has exactly one Result.
@@ -81,7 +84,7 @@
 const (
 	OutcomeAccepted Outcome = "accepted" // a majority has stored the change; lost only if a majority loses its stores
 	OutcomeConflict Outcome = "conflict" // another change came first; Revision is the latest one
-	OutcomeRejected Outcome = "refused"  // this attempt has not taken effect and will not; Error says why
+	OutcomeRejected Outcome = "refused"  // the change has not taken effect and will not; Error says why
 	// OutcomeUnknown means that no majority responded in time or that the origin has withdrawn: the change may still
 	// take effect; query by ID. For a QueryOutcome or ReadLatest it may also mean that the origin does not participate
 	// or has too many pending requests.
--- a/internal/controlplane/origin/history_test.go
+++ b/internal/controlplane/origin/history_test.go
@@ -14,10 +14,9 @@
 
 // attempt is one change that a history proposes.
 type attempt struct {
-	id        string
-	text      []byte
-	base      uint64 // BaseVersion of each of its proposals
-	ambiguous bool   // its origin stopped, or it was proposed again: a single result does not tell its outcome
+	id   string
+	text []byte
+	base uint64 // BaseVersion of each of its proposals
 }
 
 // history is a simulation with a record of its proposals, backups and rollbacks.
@@ -36,7 +35,7 @@
 //   - all origins publish a version with the same content, and no origin publishes an older version after a later one
 //     (simulation.checkPublish);
 //   - at the end, an acknowledged change has the revision in its result, and a change that was in conflict, or that was
-//     rejected and is not ambiguous (attempt.ambiguous), has none;
+//     rejected and not proposed again since, has none, also if it had been proposed before;
 //   - each proposal has one result, unless its origin stopped;
 //   - exactly the origins whose stores were rolled back have withdrawn;
 //   - once there are no more failures, all origins agree, and a change is accepted.
@@ -83,7 +82,6 @@
 	case 6:
 		if len(h.attempts) > 0 { // repeat a proposal
 			x := h.attempts[rapid.IntRange(0, len(h.attempts)-1).Draw(h.t, "again")]
-			x.ambiguous = true
 			h.propose(i, x)
 		}
 	case 7:
@@ -129,7 +127,7 @@
 		return
 	}
 	p.attempts = append(p.attempts, x)
-	h.handle(i, Propose{x.id, x.base, x.text})
+	h.handle(i, Propose{ID: x.id, First: h.proposals[x.id] == 0, BaseVersion: x.base, Text: x.text})
 }
 
 // rollBackSafely rolls a store back to a backup. It does nothing if there is no backup of the store, or if maxRollbacks
@@ -235,13 +233,15 @@
 	isConflict := false
 	for _, a := range results {
 		isConflict = isConflict || a.Outcome == OutcomeConflict
-		isFinal := a.Outcome == OutcomeRejected || a.Outcome == OutcomeConflict
-		switch {
-		case a.Outcome == OutcomeAccepted && (version != a.Revision.Version || a.Revision.Hash != hash):
+		if a.Outcome == OutcomeAccepted && (version != a.Revision.Version || a.Revision.Hash != hash) {
 			h.t.Fatalf("push %s was acknowledged as %v with hash %.12s, want version %d with hash %.12s", x.id,
 				a.Revision, a.Revision.Hash, version, hash)
-		case isFinal && !x.ambiguous && version > 0:
-			h.t.Fatalf("push %s has the outcome %q, but became version %d; want no version", x.id, a.Outcome, version)
+		}
+	}
+	for _, proposals := range h.rejections[x.id] {
+		if proposals == h.proposals[x.id] && version > 0 {
+			h.t.Fatalf("push %s has the outcome %q after its last proposal, number %d, but became version %d; want no version",
+				x.id, OutcomeRejected, proposals, version)
 		}
 	}
 	if isConflict && version > 0 {
--- a/internal/controlplane/origin/node_test.go
+++ b/internal/controlplane/origin/node_test.go
@@ -58,8 +58,8 @@
 	w := newRunningSimulation(t, 5, 1)
 	for v := range uint64(10) {
 		a, b := fmt.Sprint("a", v), fmt.Sprint("b", v)
-		w.handle(int(v)%5, Propose{a, v, textOf(a)})
-		w.handle(int(v*3+1)%5, Propose{b, v, textOf(b)})
+		w.handle(int(v)%5, Propose{ID: a, First: true, BaseVersion: v, Text: textOf(a)})
+		w.handle(int(v*3+1)%5, Propose{ID: b, First: true, BaseVersion: v, Text: textOf(b)})
 		w.waitUntil(4*time.Second, "two results", func() bool { return len(w.results[a]) > 0 && len(w.results[b]) > 0 })
 		x, y := w.results[a][0], w.results[b][0]
 		if y.Outcome == OutcomeAccepted {
@@ -80,19 +80,19 @@
 		why  string
 		what Outcome
 	}{
-		"no ID":    {Propose{"", 1, textOf("x")}, "ID", OutcomeRejected},
-		"bad text": {Propose{"bad", 1, []byte("[log]\nlevel = \"loud\"\n")}, "2:1: log.level", OutcomeRejected},
+		"no ID":    {Propose{ID: "", First: true, BaseVersion: 1, Text: textOf("x")}, "ID", OutcomeRejected},
+		"bad text": {Propose{ID: "bad", First: true, BaseVersion: 1, Text: []byte("[log]\nlevel = \"loud\"\n")}, "2:1: log.level", OutcomeRejected},
 		"too long": {
-			Propose{"long", 1, bytes.Repeat([]byte("#"), controlplane.MaxSnapshotSize+1)},
+			Propose{ID: "long", First: true, BaseVersion: 1, Text: bytes.Repeat([]byte("#"), controlplane.MaxSnapshotSize+1)},
 			"262144",
 			OutcomeRejected,
 		},
 		"older": {
-			Propose{"older", 0, textOf("x")},
+			Propose{ID: "older", First: true, BaseVersion: 0, Text: textOf("x")},
 			"made after version 0, and 1 is the latest",
 			OutcomeConflict,
 		},
-		"other content": {Propose{"first", 1, textOf("x")}, "another text", OutcomeRejected},
+		"other content": {Propose{ID: "first", First: true, BaseVersion: 1, Text: textOf("x")}, "another text", OutcomeRejected},
 	} {
 		if a := w.push(1, c.p.ID, c.p.BaseVersion, c.p.Text); a.Outcome != c.what || !strings.Contains(a.Error, c.why) {
 			t.Errorf("%s: outcome %q, error %q; want outcome %q, error with %q",
@@ -119,7 +119,7 @@
 		for i := range 5 {
 			for k := range 2 * MaxPendingRequests {
 				id := fmt.Sprint(v, "/", i, "/", k)
-				w.handle(i, Propose{id, v, append(slices.Clone(text), "# "+id...)})
+				w.handle(i, Propose{ID: id, First: true, BaseVersion: v, Text: append(slices.Clone(text), "# "+id...)})
 				sent++
 			}
 			if n := len(w.machines[i].node.pending); n > MaxPendingRequests {
@@ -368,7 +368,7 @@
 	w.handle(1, ReportReceived{"m1", reportOf200(later)})
 	w.run(time.Second)
 	for i, p := range w.machines {
-		if a := w.push(i, "new", 1, textOf("new")); a.Outcome != OutcomeRejected ||
+		if a := w.push(i, "new at "+p.name, 1, textOf("new")); a.Outcome != OutcomeRejected ||
 			!strings.Contains(a.Error, "members hold 1.5") || !strings.Contains(a.Error, "higher epoch") {
 			t.Errorf("a push to %s: outcome %q, error %q; want outcome %q, error with \"members hold 1.5\" and "+
 				"\"higher epoch\"", p.name, a.Outcome, a.Error, OutcomeRejected)
--- a/internal/controlplane/origin/requests.go
+++ b/internal/controlplane/origin/requests.go
@@ -29,6 +29,7 @@
 	readIndex  uint64 // queries and reads only: index to apply before the result is returned; 0 until raft responds
 	sentAtTick int    // tick of the last attempt
 	proposed   bool   // raft has accepted the proposal, which may take effect from then on
+	first      bool   // proposals only: see Propose.First
 	deadline   time.Duration
 }
 
@@ -47,20 +48,24 @@
 	if outcome, ok := n.state.find(ev.ID); ok { // the change was proposed before
 		return append(actions, n.resultOf(outcome, controlplane.HashText(ev.Text)))
 	}
+	if _, err := controlplane.ParseSnapshot(ev.Text); err != nil {
+		return append(actions, n.result(ev.ID, OutcomeRejected, err.Error()))
+	}
 	if outcome, reason := n.checkProposal(now, &ev); reason != "" {
 		return append(actions, n.result(ev.ID, outcome, reason))
 	}
 	p := pendingRequest{
 		kind:       requestPropose,
 		id:         ev.ID,
-		entry:      encode(logEntry(ev)),
+		entry:      encode(logEntry{ID: ev.ID, BaseVersion: ev.BaseVersion, Text: ev.Text}),
 		deadline:   now + n.cfg.RequestTimeout,
 		sentAtTick: n.ticks,
+		first:      ev.First,
 	}
 	if n.raft.BasicStatus().Lead != raft.None {
 		if err := n.raft.Propose(p.entry); err != nil {
 			reason := "too much waits for a majority: " + err.Error()
-			return append(actions, n.result(ev.ID, OutcomeRejected, reason))
+			return append(actions, n.result(ev.ID, notProposed(ev.First), reason))
 		}
 		p.proposed = true
 	}
@@ -70,22 +75,34 @@
 
 // checkProposal returns why a change cannot be proposed; the reason is empty if the change can be proposed.
 func (n *Node) checkProposal(now time.Duration, ev *Propose) (outcome Outcome, reason string) {
-	if _, err := controlplane.ParseSnapshot(ev.Text); err != nil {
-		return OutcomeRejected, err.Error()
-	}
 	if err := n.checkWritable(now); err != nil {
-		return OutcomeRejected, err.Error()
+		return notProposed(ev.First), err.Error()
 	}
 	if ev.BaseVersion < n.state.Version {
-		return OutcomeConflict,
-			fmt.Sprintf("made after version %d, and %d is the latest", ev.BaseVersion, n.state.Version)
+		reason := fmt.Sprintf("made after version %d, and %d is the latest", ev.BaseVersion, n.state.Version)
+		if !ev.First && !n.state.remembersSuccessorOf(ev.BaseVersion) {
+			return OutcomeUnknown, reason + "; the outcome of an earlier attempt is forgotten"
+		}
+		return OutcomeConflict, reason
 	}
 	if len(n.pending) >= MaxPendingRequests {
-		return OutcomeRejected, tooManyPending()
+		return notProposed(ev.First), tooManyPending()
 	}
 	return "", ""
 }
 
+// notProposed returns the outcome of a change that this origin cannot propose to raft now. first is Propose.First.
+//
+// Guard: prevents a change from taking effect after its client was told that it will not. An earlier attempt may be in
+// the log of an origin that was cut off from the majority, and be committed once the network heals; this origin may not
+// have that entry. This holds because only a first attempt is answered OutcomeRejected.
+func notProposed(first bool) Outcome {
+	if first {
+		return OutcomeRejected
+	}
+	return OutcomeUnknown
+}
+
 func tooManyPending() string {
 	return fmt.Sprintf("%d pushes and questions wait already", MaxPendingRequests)
 }
@@ -196,7 +213,7 @@
 	case p.kind != requestPropose && p.readIndex > 0 && n.applied >= p.readIndex:
 		return n.completeRead(p, outcome, known), true
 	case isExpired && p.kind == requestPropose && !p.proposed:
-		return n.result(p.id, OutcomeRejected, ErrNotLeader.Error()), true
+		return n.result(p.id, notProposed(p.first), ErrNotLeader.Error()), true
 	case isExpired:
 		return n.result(p.id, OutcomeUnknown, "no majority has answered in time: ask again by ID"), true
 	}
--- a/internal/controlplane/origin/simulation_test.go
+++ b/internal/controlplane/origin/simulation_test.go
@@ -26,6 +26,10 @@
 	loss      float64
 	results   map[string][]Result // by ID, in the order in which they were returned
 	published map[uint64]string   // hash of each version that was published
+	proposals map[string]int      // number of proposals, by ID of the change
+	// rejections has, for each rejection of a change that was returned while no other proposal of the change waited for
+	// a result, the number of its proposals so far.
+	rejections map[string][]int
 }
 
 // failer is the part of testing.T, testing.B and rapid.T that a simulation needs.
@@ -45,8 +49,9 @@
 	stepsToCrash int           // number of actions and records until the machine stops; negative if it does not
 	published    controlplane.Revision
 	logged       []string
-	attempts     []*attempt // proposals to this incarnation
-	completed    int        // number of attempts that have a result
+	waiting      map[string]int // number of proposals to this incarnation that have no result yet, by ID
+	attempts     []*attempt     // proposals to this incarnation
+	completed    int            // number of attempts that have a result
 }
 
 type simEvent struct {
@@ -79,12 +84,14 @@
 // newSimulation bootstraps n origins and starts none.
 func newSimulation(t failer, n int, seed uint64) *simulation {
 	w := &simulation{
-		t:         t,
-		epoch:     1,
-		rng:       rand.New(rand.NewPCG(seed, 5)),
-		partition: make([]int, n),
-		results:   map[string][]Result{},
-		published: map[uint64]string{},
+		t:          t,
+		epoch:      1,
+		rng:        rand.New(rand.NewPCG(seed, 5)),
+		partition:  make([]int, n),
+		results:    map[string][]Result{},
+		proposals:  map[string]int{},
+		rejections: map[string][]int{},
+		published:  map[uint64]string{},
 	}
 	for i, name := range originNames(n) {
 		p := &machine{
@@ -184,18 +191,38 @@
 func (w *simulation) stop(i int) {
 	p := w.machines[i]
 	p.node = nil
-	for _, x := range p.attempts {
-		x.ambiguous = true
-	}
-	p.attempts, p.completed = nil, 0
+	p.attempts, p.completed, p.waiting = nil, 0, nil
 }
 
 func (w *simulation) handle(i int, ev Event) {
 	if p := w.machines[i]; p.node != nil {
+		if change, ok := ev.(Propose); ok {
+			if p.waiting == nil {
+				p.waiting = map[string]int{}
+			}
+			p.waiting[change.ID]++
+			w.proposals[change.ID]++
+		}
 		w.execute(i, p.node.Handle(w.now-p.startedAt+p.clockOffset, ev))
 	}
 }
 
+// recordResult records a result that an origin has returned.
+func (w *simulation) recordResult(i int, r Result) {
+	w.results[r.ID] = append(w.results[r.ID], r)
+	if w.machines[i].waiting[r.ID] > 0 {
+		w.machines[i].waiting[r.ID]--
+	}
+	for _, p := range w.machines {
+		if p.waiting[r.ID] > 0 {
+			return
+		}
+	}
+	if r.Outcome == OutcomeRejected {
+		w.rejections[r.ID] = append(w.rejections[r.ID], w.proposals[r.ID])
+	}
+}
+
 // execute executes the actions of an origin, and stops its machine if it is due to crash.
 func (w *simulation) execute(i int, actions []Action) {
 	w.t.Helper()
@@ -226,7 +253,7 @@
 	case Publish:
 		w.checkPublish(p, a.Frame)
 	case Result:
-		w.results[a.ID] = append(w.results[a.ID], a)
+		w.recordResult(i, a)
 		if slices.ContainsFunc(p.attempts, func(x *attempt) bool { return x.id == a.ID }) {
 			p.completed++
 		}
@@ -324,7 +351,7 @@
 func (w *simulation) push(i int, id string, after uint64, text []byte) Result {
 	w.t.Helper()
 	n := len(w.results[id])
-	w.handle(i, Propose{id, after, text})
+	w.handle(i, Propose{ID: id, First: w.proposals[id] == 0, BaseVersion: after, Text: text})
 	w.waitUntil(5*time.Second, "the result of push "+id,
 		func() bool { return len(w.results[id]) > n || w.machines[i].node == nil })
 	if len(w.results[id]) == n {
--- a/internal/controlplane/origin/state_test.go
+++ b/internal/controlplane/origin/state_test.go
@@ -73,7 +73,7 @@
 				if ok && n.currentRole() == RoleLeader {
 					pushed++
 					id := fmt.Sprint("p", pushed)
-					execute(n.Handle(now, Propose{id, n.state.Version, []byte(strings.Repeat("#", 700) + id)}))
+					execute(n.Handle(now, Propose{ID: id, First: true, BaseVersion: n.state.Version, Text: []byte(strings.Repeat("#", 700) + id)}))
 				}
 			}
 			if n.rollbackReason != "" {
@@ -137,7 +137,7 @@
 					}
 				}
 				if out := got.Handle(10*time.Second,
-					Propose{"x", got.state.Version, textOf("x")}); out[len(out)-1].(Result).Outcome != OutcomeRejected {
+					Propose{ID: "x", First: true, BaseVersion: got.state.Version, Text: textOf("x")}); out[len(out)-1].(Result).Outcome != OutcomeRejected {
 					t.Errorf("record %s %s: a push returns the actions %v, want a result with outcome %q",
 						key, what, out, OutcomeRejected)
 				}
--- a/internal/controlplane/origin/statemachine.go
+++ b/internal/controlplane/origin/statemachine.go
@@ -59,6 +59,13 @@
 	return m.Outcomes[i], true
 }
 
+// remembersSuccessorOf reports whether the change that became the version after the given one is certainly among
+// Outcomes, if there is one.
+func (m *stateMachine) remembersSuccessorOf(version uint64) bool {
+	return len(m.Outcomes) < MaxOutcomes ||
+		slices.ContainsFunc(m.Outcomes, func(o changeOutcome) bool { return o.Version == version+1 })
+}
+
 func (m *stateMachine) revision(epoch uint64) controlplane.Revision {
 	if m.Version == 0 {
 		return controlplane.Revision{}
--- a/internal/controlplane/transport/format_test.go
+++ b/internal/controlplane/transport/format_test.go
@@ -234,7 +234,7 @@
 			t.Error(err)
 		}
 	}
-	_, err := c.Push(t.Context(), "push 1", 16, []byte("# text\n"))
+	_, err := c.Push(t.Context(), "push 1", 16, []byte("# text\n"), false)
 	check(err)
 	// Origins serve the query for the outcome of a push. Client has no method for it, since no command sends it.
 	var outcome origin.Result
--- a/internal/controlplane/transport/hollow_test.go
+++ b/internal/controlplane/transport/hollow_test.go
@@ -314,7 +314,7 @@
 	if err != nil {
 		return controlplane.Revision{}, false
 	}
-	result, err := client.Push(ctx, id, shown.Result.Revision.Version, text)
+	result, err := client.Push(ctx, id, shown.Result.Revision.Version, text, false)
 	return result.Revision, err == nil && result.Outcome == origin.OutcomeAccepted
 }
 
--- a/internal/controlplane/transport/operatorclient.go
+++ b/internal/controlplane/transport/operatorclient.go
@@ -72,9 +72,14 @@
 }
 
 // Push proposes a text as the successor of the base version, under an ID that the caller chooses. It is safe to repeat
-// a push with the same ID.
-func (c *Client) Push(ctx context.Context, id string, baseVersion uint64, text []byte) (origin.Result, error) {
+// a push with the same ID. first is true if no push was made with this ID before, to any origin.
+func (c *Client) Push(
+	ctx context.Context, id string, baseVersion uint64, text []byte, first bool,
+) (origin.Result, error) {
 	query := url.Values{"id": {id}, "after": {strconv.FormatUint(baseVersion, 10)}}
+	if first {
+		query.Set(firstParameter, firstValue)
+	}
 	var result origin.Result
 	err := c.call(ctx, http.MethodPost, pushPath+"?"+query.Encode(), text, &result)
 	return result, err
--- a/internal/controlplane/transport/originhttp.go
+++ b/internal/controlplane/transport/originhttp.go
@@ -18,6 +18,11 @@
 	showPath   = "/config/show"
 	statusPath = "/config/status"
 
+	// firstParameter is a parameter of pushPath, and firstValue its value if origin.Propose.First is set. Clients of
+	// earlier versions do not send it.
+	firstParameter = "first"
+	firstValue     = "1"
+
 	// bodyReadTimeout limits the time to read the whole body of a request. A higher value tolerates slower clients,
 	// but a faulty one can occupy a connection for longer.
 	bodyReadTimeout = 5 * time.Second
@@ -115,7 +120,12 @@
 	if !ok {
 		return
 	}
-	o.serveResult(w, r, id, origin.Propose{ID: id, BaseVersion: baseVersion, Text: text})
+	o.serveResult(w, r, id, origin.Propose{
+		ID:          id,
+		BaseVersion: baseVersion,
+		Text:        text,
+		First:       query.Get(firstParameter) == firstValue,
+	})
 }
 
 // serveResult passes a push, or a query for the outcome of a push, to the node and responds with the result.
