Ask what has run before a front rejects a request that it does not forward

Change: a front asks engine.MayReject before it rejects by itself, and fails the request otherwise. The Deduplicator answers by the key. This works since it sees each attempt before it is sent.

--- a/internal/controlplane/origin/history_test.go
+++ b/internal/controlplane/origin/history_test.go
@@ -240,8 +240,8 @@
 	}
 	for _, proposals := range h.rejections[x.id] {
 		if proposals == h.proposals[x.id] && version > 0 {
-			h.t.Fatalf("push %s has the outcome %q after its last proposal, number %d, but became version %d; want no version",
-				x.id, OutcomeRejected, proposals, version)
+			h.t.Fatalf("push %s has the outcome %q after its last proposal, number %d, but became version %d; "+
+				"want no version", x.id, OutcomeRejected, proposals, version)
 		}
 	}
 	if isConflict && version > 0 {
--- a/internal/controlplane/origin/node_test.go
+++ b/internal/controlplane/origin/node_test.go
@@ -81,9 +81,18 @@
 		what Outcome
 	}{
 		"no ID":    {Propose{ID: "", First: true, BaseVersion: 1, Text: textOf("x")}, "ID", OutcomeRejected},
-		"bad text": {Propose{ID: "bad", First: true, BaseVersion: 1, Text: []byte("[log]\nlevel = \"loud\"\n")}, "2:1: log.level", OutcomeRejected},
+		"bad text": {
+			Propose{ID: "bad", First: true, BaseVersion: 1, Text: []byte("[log]\nlevel = \"loud\"\n")},
+			"2:1: log.level",
+			OutcomeRejected,
+		},
 		"too long": {
-			Propose{ID: "long", First: true, BaseVersion: 1, Text: bytes.Repeat([]byte("#"), controlplane.MaxSnapshotSize+1)},
+			Propose{
+				ID:          "long",
+				First:       true,
+				BaseVersion: 1,
+				Text:        bytes.Repeat([]byte("#"), controlplane.MaxSnapshotSize+1),
+			},
 			"262144",
 			OutcomeRejected,
 		},
@@ -92,7 +101,11 @@
 			"made after version 0, and 1 is the latest",
 			OutcomeConflict,
 		},
-		"other content": {Propose{ID: "first", First: true, BaseVersion: 1, Text: textOf("x")}, "another text", OutcomeRejected},
+		"other content": {
+			Propose{ID: "first", First: true, BaseVersion: 1, Text: textOf("x")},
+			"another text",
+			OutcomeRejected,
+		},
 	} {
 		if a := w.push(1, c.p.ID, c.p.BaseVersion, c.p.Text); a.Outcome != c.what || !strings.Contains(a.Error, c.why) {
 			t.Errorf("%s: outcome %q, error %q; want outcome %q, error with %q",
--- a/internal/controlplane/origin/repeat_test.go
+++ b/internal/controlplane/origin/repeat_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Guards against a change that takes effect after its operator was told that it will not: a push without a majority stands in
-// the logs of one side of a network partition, and is committed when the partition heals. Its repeat, at whatever origin of
-// both sides, must not be answered as rejected or in conflict.
+// Guards against a change that takes effect after its operator was told that it will not: a push without a majority
+// stands in the logs of one side of a network partition, and is committed when the partition heals. Its repeat, at
+// whatever origin of both sides, must not be answered as rejected or in conflict.
 func TestRepeatedPushIsNotRejected(t *testing.T) {
 	for seed := range uint64(5) {
 		w := newRunningSimulation(t, 4, seed)
@@ -38,8 +38,8 @@
 	}
 }
 
-// Guards against a push that is answered as in conflict although it was accepted, because its outcome is forgotten: an origin
-// remembers the outcomes of the latest MaxOutcomes changes only.
+// Guards against a push that is answered as in conflict although it was accepted, because its outcome is forgotten: an
+// origin remembers the outcomes of the latest MaxOutcomes changes only.
 func TestRepeatOfAForgottenPushIsNotInConflict(t *testing.T) {
 	w := newRunningSimulation(t, 3, 1)
 	for v := range uint64(MaxOutcomes + 2) {
--- a/internal/controlplane/origin/state_test.go
+++ b/internal/controlplane/origin/state_test.go
@@ -73,7 +73,8 @@
 				if ok && n.currentRole() == RoleLeader {
 					pushed++
 					id := fmt.Sprint("p", pushed)
-					execute(n.Handle(now, Propose{ID: id, First: true, BaseVersion: n.state.Version, Text: []byte(strings.Repeat("#", 700) + id)}))
+					text := []byte(strings.Repeat("#", 700) + id)
+					execute(n.Handle(now, Propose{ID: id, First: true, BaseVersion: n.state.Version, Text: text}))
 				}
 			}
 			if n.rollbackReason != "" {
@@ -136,8 +137,9 @@
 						}
 					}
 				}
-				if out := got.Handle(10*time.Second,
-					Propose{ID: "x", First: true, BaseVersion: got.state.Version, Text: textOf("x")}); out[len(out)-1].(Result).Outcome != OutcomeRejected {
+				change := Propose{ID: "x", First: true, BaseVersion: got.state.Version, Text: textOf("x")}
+				out := got.Handle(10*time.Second, change)
+				if out[len(out)-1].(Result).Outcome != OutcomeRejected {
 					t.Errorf("record %s %s: a push returns the actions %v, want a result with outcome %q",
 						key, what, out, OutcomeRejected)
 				}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -51,6 +51,20 @@
 	SentAt   time.Time
 }
 
+// RejectionChecker is implemented by a Doer of a front that remembers calls. MayReject reports whether a call that was
+// not passed to Do may be rejected, which tells the client that a retry is harmless. It does not block.
+type RejectionChecker interface{ MayReject(c *Call) bool }
+
+// MayReject reports whether a front may reject a call that it does not pass to doer. It returns true if doer is no
+// RejectionChecker.
+//
+// Guard: prevents a client from being told that a retry is harmless although an earlier call for the same effect may
+// have run. This holds because each front calls MayReject before it rejects a call by itself.
+func MayReject(doer any, c *Call) bool {
+	checker, ok := doer.(RejectionChecker)
+	return !ok || checker.MayReject(c)
+}
+
 // MayStart returns a function that decides whether an attempt that is ready to be written may still start. The attempt
 // may start while the client is connected and, if the Balancer set Action.NotAfter, only before that time. A transport
 // calls MayStart in Attempt, from Run's goroutine, and calls the returned function from the attempt's goroutine,
--- a/internal/front/graphqlfront/part.go
+++ b/internal/front/graphqlfront/part.go
@@ -61,15 +61,26 @@
 	case s.partSlots <- struct{}{}:
 		defer func() { <-s.partSlots }()
 	default:
-		s.rejectedParts.Add(1)
-		const reason = "refused: too much is in hand; trying again is harmless"
-		return plan.Outcome{Kind: plan.OutcomeRejected, Reason: reason}, false
+		return x.outcomeWithoutSlot(part), false
 	}
 	s.parts.Add(1)
 	result := s.config.Doer.Do(ctx, x.newCall(part))
 	return s.outcomeOf(part, result), result.Kind == engine.Disconnected
 }
 
+// outcomeWithoutSlot returns the outcome of a part that is not executed because there are too many parts in flight.
+func (x *execution) outcomeWithoutSlot(part *plan.Part) plan.Outcome {
+	s := x.server
+	if !engine.MayReject(s.config.Doer, x.newCall(part)) {
+		s.unknownParts.Add(1)
+		const reason = "too much is in hand; an earlier request with this key may have run"
+		return plan.Outcome{Kind: plan.OutcomeUnknown, Reason: reason}
+	}
+	s.rejectedParts.Add(1)
+	const reason = "refused: too much is in hand; trying again is harmless"
+	return plan.Outcome{Kind: plan.OutcomeRejected, Reason: reason}
+}
+
 // newCall returns the call for a part.
 func (x *execution) newCall(part *plan.Part) *engine.Call {
 	s := x.server
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -91,8 +91,8 @@
 	_, _ = w.Write(response.Body) // fails only if the client has disconnected
 }
 
-// respond returns the response to a request, and whether it is the last one on its connection. A request is rejected
-// immediately if its client has already disconnected, or if the open requests were cancelled at the stop.
+// respond returns the response to a request, and whether it is the last one on its connection. A request is not
+// forwarded if its client has already disconnected, or if the open requests were cancelled at the stop.
 //
 // Guard: prevents a request that arrives shortly before SIGKILL from being forwarded without time for its answer: the
 // answer would be lost although the request may have run. This holds because requestContext is checked before the
@@ -111,14 +111,22 @@
 	}
 	client.BeginRequest()
 	if client.Disconnected() || s.requestContext.Err() != nil {
-		// The request was not forwarded. A client that has closed only its sending half may still read the rejection.
-		return rejectedResponse(0), true
+		return s.unforwardedResponse(call), true
 	}
 	call.Disconnected = client.Disconnected
 	result := s.engine.Do(r.Context(), call)
 	return responseFromResult(result), result.Kind == engine.Disconnected
 }
 
+// unforwardedResponse returns the response to a request that was not forwarded. A client that has closed only its
+// sending half may still read it.
+func (s *Server) unforwardedResponse(call *engine.Call) httpmsg.Response {
+	if engine.MayReject(s.engine, call) {
+		return rejectedResponse(0)
+	}
+	return failedResponse(false)
+}
+
 // serveReady returns the response to a readiness check.
 func (s *Server) serveReady(r *http.Request) httpmsg.Response {
 	switch {
--- a/internal/idempotency/middleware/doer.go
+++ b/internal/idempotency/middleware/doer.go
@@ -46,6 +46,23 @@
 	return result
 }
 
+// MayReject implements engine.RejectionChecker.
+func (r doer) MayReject(c *engine.Call) bool {
+	d := r.deduplicator
+	if d.effects[c.Class] == balancer.Idempotent || d.isRepeatHarmless(c.Class) {
+		return true
+	}
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.tracker.MayHaveRun(now, fingerprint(c))
+}
+
+// isRepeatHarmless reports whether any endpoint recognizes a repeat of a request of the class.
+func (d *Deduplicator) isRepeatHarmless(class string) bool {
+	return d.effects[class] == balancer.Keyed && d.scopes[class] == balancer.ScopeAll
+}
+
 // admit decides whether a call is passed on. If so, it adds the earlier attempts with the same fingerprint to
 // c.PriorAttempts and returns true; otherwise it returns the call's result and false.
 func (d *Deduplicator) admit(fp idempotency.Fingerprint, c *engine.Call) (engine.Result, bool) {
--- a/internal/idempotency/tracker.go
+++ b/internal/idempotency/tracker.go
@@ -166,6 +166,14 @@
 	return mayHaveRun
 }
 
+// MayHaveRun reports whether an attempt with the fingerprint may have run, or may run because a request with the
+// fingerprint is in flight.
+func (t *Tracker) MayHaveRun(now Instant, fp Fingerprint) bool {
+	t.expire(now)
+	e := t.entries[fp]
+	return e != nil && (len(e.locations) > 0 || e.requests > 0)
+}
+
 // Stats describes the state of a Tracker.
 type Stats struct {
 	Entries      int // number of fingerprints, including those of requests in flight that have had no attempt
