--- a/internal/controlplane/origin/node_test.go
+++ b/internal/controlplane/origin/node_test.go
@@ -80,7 +80,7 @@
 		why  string
 		what Outcome
 	}{
-		"no ID":    {Propose{ID: "", First: true, BaseVersion: 1, Text: textOf("x")}, "ID", OutcomeRejected},
+		"no ID": {Propose{ID: "", First: true, BaseVersion: 1, Text: textOf("x")}, "ID", OutcomeRejected},
 		"bad text": {
 			Propose{ID: "bad", First: true, BaseVersion: 1, Text: []byte("[log]\nlevel = \"loud\"\n")},
 			"2:1: log.level",
