--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -85,6 +85,7 @@
 	published   Frame         // frame passed on to subscribers
 	highest     Revision      // highest revision ever accepted
 	active      Frame         // frame of the active snapshot
+	cached      Frame         // frame that the previous run cached; zero if there is none
 	unconfirmed Revision      // revision of the cached snapshot until an upstream confirms or replaces it; then zero
 	confirmedAt time.Duration // when an upstream last confirmed or sent the published snapshot; at first the start
 	applying    *Snapshot     // snapshot of the outstanding Apply; nil if there is none
@@ -116,6 +117,9 @@
 	}
 	frame := cached.Frame
 	f.highest = cached.Highest
+	if frame.Revision.IsZero() && len(frame.Text) == 0 { // the previous run activated none
+		return f, nil
+	}
 	if err := frame.Validate(c.Cluster); err != nil {
 		return f, f.logMessage(now, nil, LogCorrupt, "cached snapshot: "+err.Error())
 	}
@@ -123,6 +127,7 @@
 		f.highest = frame.Revision
 	}
 	f.unconfirmed = frame.Revision
+	f.cached = frame
 	return f, f.publish(now, frame, nil)
 }
 
@@ -221,14 +226,14 @@
 }
 
 // rejectSnapshot records that the published snapshot cannot be activated. The active snapshot stays active.
+//
+// Guard: prevents an older snapshot, which the operator has replaced, from being activated after a restart. This holds
+// because the highest accepted revision is cached also while no snapshot is active.
 func (f *Follower) rejectSnapshot(now time.Duration, err error, actions []Action) []Action {
 	f.rejection = err
 	f.reports.changed = true
 	f.stats.Rejected++
 	actions = f.logMessage(now, actions, LogRejected, fmt.Sprintf("%v: %v", f.published.Revision, err))
-	if f.active.Revision.IsZero() {
-		return actions
-	}
 	return append(actions, f.save())
 }
 
@@ -256,8 +261,13 @@
 	return actions
 }
 
+// save returns the action that caches the active snapshot or, if none is active, the one that the previous run cached.
 func (f *Follower) save() Save {
-	return Save{CachedSnapshot{Frame: f.active, Highest: f.highest}}
+	frame := f.active
+	if frame.Revision.IsZero() {
+		frame = f.cached
+	}
+	return Save{CachedSnapshot{Frame: frame, Highest: f.highest}}
 }
 
 // runDue executes what is due at now.
--- a/internal/controlplane/follower_test.go
+++ b/internal/controlplane/follower_test.go
@@ -44,6 +44,41 @@
 	}
 }
 
+// Guards against an older snapshot that takes effect after a restart: the first snapshot of all, or of a run that could not
+// activate the cached one, was rejected, so that nothing was active. Its revision must be cached, with the frame that was
+// cached before.
+func TestRejectedFirstSnapshotIsRemembered(t *testing.T) {
+	older, newer := validFrame(Revision{Epoch: 1, Version: 4}, ""), validFrame(Revision{Epoch: 1, Version: 5}, "[log]")
+	for _, cached := range []*CachedSnapshot{
+		nil,
+		{Frame: validFrame(Revision{Epoch: 1, Version: 1}, "[log]"), Highest: Revision{Epoch: 1, Version: 1}},
+	} {
+		c := FollowerConfig{Cluster: "f", Self: "a", Cached: cached, Parse: parseWithoutLog}
+		f, _ := NewFollower(c, 0)
+		actions := f.Handle(time.Second, SnapshotReceived{From: "b", Frame: newer})
+		var saved Save
+		for _, a := range actions {
+			if save, ok := a.(Save); ok {
+				saved = save
+			}
+		}
+		if saved.Cached.Highest != newer.Revision {
+			t.Fatalf("actions after a snapshot that cannot be activated: %+v, want a Save with revision %v",
+				actions, newer.Revision)
+		}
+		if cached != nil && saved.Cached.Frame.Revision != cached.Frame.Revision {
+			t.Errorf("the frame of %v was cached, want that of %v, as before", saved.Cached.Frame.Revision,
+				cached.Frame.Revision)
+		}
+		c.Cached = &saved.Cached
+		f, _ = NewFollower(c, 0)
+		f.Handle(time.Second, SnapshotReceived{From: "b", Frame: older})
+		if s := f.Stats(); s.Published.Compare(older.Revision) == 0 || s.Stale != 1 {
+			t.Errorf("after a restart: %+v, want version 4 rejected as older than 5", s)
+		}
+	}
+}
+
 // followerRun runs a follower, restarts it, and records the state that its actions lead to.
 type followerRun struct {
 	t        *rapid.T
