Merged sources keep the former watch until the new discovery has answered

Change: each watch ends with its request, or with Run. The engine has at most two requests open. What the former watch delivers is treated as that of a replaced one: its drains apply.

--- a/internal/controlplane/follower_test.go
+++ b/internal/controlplane/follower_test.go
@@ -44,9 +44,9 @@
 	}
 }
 
-// Guards against an older snapshot that takes effect after a restart: the first snapshot of all, or of a run that could not
-// activate the cached one, was rejected, so that nothing was active. Its revision must be cached, with the frame that was
-// cached before.
+// Guards against an older snapshot that takes effect after a restart: the first snapshot of all, or of a run that could
+// not activate the cached one, was rejected, so that nothing was active. Its revision must be cached, with the frame
+// that was cached before.
 func TestRejectedFirstSnapshotIsRemembered(t *testing.T) {
 	older, newer := validFrame(Revision{Epoch: 1, Version: 4}, ""), validFrame(Revision{Epoch: 1, Version: 5}, "[log]")
 	for _, cached := range []*CachedSnapshot{
--- a/internal/discovery/mergedsource/run.go
+++ b/internal/discovery/mergedsource/run.go
@@ -68,13 +68,16 @@
 	}
 }
 
-// startPlatformWatch stops the present watch of the platform's discovery service, and starts the watch requested last.
+// startPlatformWatch starts the watch requested last. Each watch ends with its request, or with Run.
+//
+// Guard: prevents the loss of a drain that the former discovery service reports before a new one has answered. This
+// holds because the engine ends the former request only then.
 func (s *Source) startPlatformWatch(ctx context.Context) {
 	s.mu.Lock()
 	request := s.request
 	s.mu.Unlock()
-	if s.stopPlatformWatch != nil {
-		s.stopPlatformWatch()
+	if request == s.current {
+		return
 	}
 	s.current = request
 	s.stopPlatformWatch = request.source.Watch(request.version, request.delay, func(update engine.EndpointUpdate) {
@@ -82,6 +85,7 @@
 	})
 	//nolint:contextcheck // the watch ends with the request of the engine, and Run stops it at its own end
 	context.AfterFunc(request.ctx, s.stopPlatformWatch)
+	context.AfterFunc(ctx, s.stopPlatformWatch)
 }
 
 // runAdditional runs an additional source until ctx ends.
--- a/internal/discovery/mergedsource/source_test.go
+++ b/internal/discovery/mergedsource/source_test.go
@@ -317,3 +317,24 @@
 		t.Errorf("the engine received %+v, want the new endpoint c", next)
 	}
 }
+
+// Guards against the loss of a drain while discovery moves: the former service still answers, and the new one has not yet.
+// The watch of the former must stay open until its caller stops it.
+func TestFormerWatchStaysOpenUntilItIsStopped(t *testing.T) {
+	h := start(t, 0, "a", "b")
+	former := h.watch
+	moved := newFakePlatform()
+	h.SetPlatform(moved)
+	stop := h.Watch(engine.UnknownVersion, 0, func(update engine.EndpointUpdate) { h.updates <- update })
+	current := testutil.Receive(t, moved.watches, "the watch of the new service")
+	if former.stopped.Load() {
+		t.Fatal("the watch of the former service was stopped before its caller had stopped it")
+	}
+	former.notify(engine.EndpointUpdate{Kind: balancer.Delta, Version: 8, Endpoints: endpoints("-a")})
+	update := testutil.Receive(t, h.updates, "the drain")
+	if len(update.Endpoints) != 1 || update.Endpoints[0].ID != "a" || update.Endpoints[0].State == balancer.Active {
+		t.Errorf("update %+v, want the drain of a", update)
+	}
+	stop()
+	testutil.Until(t, "the end of the new watch", current.stopped.Load)
+}
