Merged sources pass on changes that came between two watches

Change: such changes are kept, the latest for each endpoint and at most twice members.most, and go to the next watch out of band. Beyond that a log line says so.

--- a/internal/discovery/mergedsource/endpoints.go
+++ b/internal/discovery/mergedsource/endpoints.go
@@ -65,11 +65,34 @@
 	}
 }
 
-// notify passes an update to the caller of the current Watch, unless the caller has stopped that watch.
+// notify passes an update to the caller of the current Watch. If the caller has stopped that watch, the endpoints of
+// the update are kept for the next one.
+//
+// Guard: prevents a change that the merger has taken over from never reaching the engine, because it came between two
+// watches: a new endpoint would never be used. This holds because notifyUndelivered passes it on.
 func (s *Source) notify(update engine.EndpointUpdate) {
 	if s.current.ctx.Err() == nil {
 		s.current.notify(update)
+		return
+	}
+	for _, e := range update.Endpoints {
+		_, isKept := s.undelivered[e.ID]
+		if !isKept && len(s.undelivered) >= maxUndeliveredFactor*s.cfg.MaxEndpoints {
+			s.log.Error("endpoint change lost, too many while the list is not watched", "id", e.ID)
+			continue
+		}
+		s.undelivered[e.ID] = e
+	}
+}
+
+// notifyUndelivered passes on the changes that could not be passed to the caller of an earlier Watch.
+func (s *Source) notifyUndelivered() {
+	if len(s.undelivered) == 0 {
+		return
 	}
+	endpoints := slices.Collect(maps.Values(s.undelivered))
+	clear(s.undelivered)
+	s.notify(engine.EndpointUpdate{Kind: balancer.OutOfBand, Endpoints: endpoints})
 }
 
 // engineEndpoints logs changes of the merged list and returns them as endpoints of the engine.
--- a/internal/discovery/mergedsource/run.go
+++ b/internal/discovery/mergedsource/run.go
@@ -80,6 +80,7 @@
 		return
 	}
 	s.current = request
+	s.notifyUndelivered()
 	s.stopPlatformWatch = request.source.Watch(request.version, request.delay, func(update engine.EndpointUpdate) {
 		s.post(ctx, platformEvent{request, update})
 	})
--- a/internal/discovery/mergedsource/source.go
+++ b/internal/discovery/mergedsource/source.go
@@ -28,6 +28,9 @@
 	// eventQueueLength limits the events of the sources that are queued for Run. A higher value allows longer bursts
 	// before the sources block, but uses more memory.
 	eventQueueLength = 64
+	// maxUndeliveredFactor limits the changes that are kept between two watches, as a multiple of Config.MaxEndpoints.
+	// A higher value tolerates a longer pause, but uses more memory.
+	maxUndeliveredFactor = 2
 	// statusTimeout limits how long Source.Status waits for Run.
 	statusTimeout = time.Second
 )
@@ -81,13 +84,14 @@
 	// The following fields are used only by Run.
 	log               *slog.Logger
 	merger            *discovery.Merger
-	startedAt         time.Time          // origin of the merger's times
-	current           *watchRequest      // request for the present watch of the platform
-	stopPlatformWatch context.CancelFunc // stops the present watch of the platform
-	platformSeq       int64              // sequence number of the platform's last update
-	platformStarts    map[string]float64 // StartedAtMS of the endpoints that the platform lists, by ID
-	hasReported       map[string]bool    // names of the additional sources that have sent an update
-	initialAddrs      map[string]bool    // addresses in the first update of each additional source
+	startedAt         time.Time                  // origin of the merger's times
+	current           *watchRequest              // request for the present watch of the platform
+	stopPlatformWatch context.CancelFunc         // stops the present watch of the platform
+	undelivered       map[string]engine.Endpoint // latest changes that no watch has been notified of, by ID
+	platformSeq       int64                      // sequence number of the platform's last update
+	platformStarts    map[string]float64         // StartedAtMS of the endpoints that the platform lists, by ID
+	hasReported       map[string]bool            // names of the additional sources that have sent an update
+	initialAddrs      map[string]bool            // addresses in the first update of each additional source
 }
 
 // watchRequest holds the arguments of a call of Watch, and its context.
@@ -138,6 +142,7 @@
 		platformStarts: map[string]float64{},
 		hasReported:    map[string]bool{},
 		initialAddrs:   map[string]bool{},
+		undelivered:    map[string]engine.Endpoint{},
 	}
 	// The changes are not passed to the engine, because the engine has the cached list already.
 	s.applyPlatformUpdate(0, engine.EndpointUpdate{Kind: balancer.CompleteList, Endpoints: cfg.CachedList})
--- a/internal/discovery/mergedsource/source_test.go
+++ b/internal/discovery/mergedsource/source_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -318,8 +319,8 @@
 	}
 }
 
-// Guards against the loss of a drain while discovery moves: the former service still answers, and the new one has not yet.
-// The watch of the former must stay open until its caller stops it.
+// Guards against the loss of a drain while discovery moves: the former service still answers, and the new one has not
+// yet. The watch of the former must stay open until its caller stops it.
 func TestFormerWatchStaysOpenUntilItIsStopped(t *testing.T) {
 	h := start(t, 0, "a", "b")
 	former := h.watch
@@ -338,3 +339,23 @@
 	stop()
 	testutil.Until(t, "the end of the new watch", current.stopped.Load)
 }
+
+// Guards against a change that the merger has taken over and that never reaches the engine: it comes after the engine
+// has stopped its watch, and before it begins another one.
+func TestChangeBetweenTwoWatchesIsDelivered(t *testing.T) {
+	h := start(t, 0, "a")
+	stop := h.Watch(7, 0, func(engine.EndpointUpdate) { t.Error("notified after the watch was stopped") })
+	testutil.Receive(t, h.platform.watches, "the second watch")
+	stop()
+	h.srv <- srvEvent{update: discovery.Update{Complete: true, Endpoints: []discovery.Endpoint{{Addr: "x:new"}}}}
+	testutil.Until(t, "the merger to list the new address", func() bool {
+		return slices.ContainsFunc(h.Status(), func(e discovery.EndpointStatus) bool {
+			return e.Listed && e.Addr == "x:new"
+		})
+	})
+	h.Watch(7, 0, func(update engine.EndpointUpdate) { h.updates <- update })
+	update := testutil.Receive(t, h.updates, "the change between the watches")
+	if update.Kind != balancer.OutOfBand || len(update.Endpoints) != 1 || update.Endpoints[0].Addr != "x:new" {
+		t.Errorf("update %+v, want the new address, out of band", update)
+	}
+}
