--- a/internal/transport/http1/http1_test.go
+++ b/internal/transport/http1/http1_test.go
@@ -236,6 +236,21 @@
 	}
 }
 
+// Guards against the loss of an answer to a request that has run: an endpoint stands still between the head and the
+// body, for longer than the limit on a pause, and the attempt has time left.
+func TestResponseThatPausesIsServed(t *testing.T) {
+	p := testPool()
+	addr := testutil.ServeRaw(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		testutil.ReadRequest(r)
+		head, body := testutil.OKResponse[:len(testutil.OKResponse)-2], testutil.OKResponse[len(testutil.OKResponse)-2:]
+		write(conn, head)
+		time.Sleep(p.dialer.Timeout * 8 / 5) // endpoints stand still for up to 0.41 s, and the limit is 0.25 s
+		write(conn, body)
+	})
+	o := run(p.newExchange(addEndpoint(t, p, addr), testutil.WaitTimeout, testRequest("POST")))
+	wantResult(t, o, balancer.OK)
+}
+
 // An endpoint sends additional data with its response or later. On a reused connection, this data would be read as the
 // answer to the next request, and a client would get another client's answer. The connection must not be reused.
 func TestConnectionWithExcessBytesIsNotReused(t *testing.T) {
