--- a/internal/transport/http1/conn.go
+++ b/internal/transport/http1/conn.go
@@ -17,6 +17,7 @@
 	reader        *bufio.Reader     // reads from limitedReader
 	idleSince     time.Time         // when the connection was last returned to the pool; zero if never
 	respondedAt   time.Time         // when the last response was read to its end; zero if there was none
+	reuseTimer    *time.Timer       // expires at the end of reuseDelay; nil until an exchange has waited for that
 	releaseSlot   func()            // frees the connection's slot; further calls have no effect
 
 	responsePauseTimeout time.Duration // longest pause within a response
--- a/internal/transport/http1/reuse.go
+++ b/internal/transport/http1/reuse.go
@@ -74,12 +74,16 @@
 	if wait <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	if c.reuseTimer == nil {
+		c.reuseTimer = time.NewTimer(wait)
+	} else {
+		c.reuseTimer.Reset(wait)
+	}
 	select {
-	case <-timer.C:
+	case <-c.reuseTimer.C:
 		return nil
 	case <-ctx.Done():
+		c.reuseTimer.Stop()
 		p.put(e, c)
 		return ctx.Err()
 	}
