An attempt that times out while it waits for a connection's rest is not sent

Cause: found when the change was read again. If its time ended there, get returned the context's error, and unsentResult made it ConnectFailed: a failure of a healthy endpoint, which counts towards its ejection. No caller has seen it; attempts with under 30 ms left are rare.

Change: the wait ends with an error of its own, which counts as NotSent, like the wait for a connection slot beside it.

Measured: TestCancelledWaitForReuseKeepsTheConnection, with a check added, fails before (result 4 for 7) and passes now.

--- a/internal/transport/http1/outcome.go
+++ b/internal/transport/http1/outcome.go
@@ -27,7 +27,8 @@
 	switch {
 	case errors.Is(x.ctx.Err(), context.Canceled):
 		return balancer.Cancelled
-	case err == nil || errors.Is(err, errConnLimit) || errors.Is(err, errUnwritableRequest):
+	case err == nil || errors.Is(err, errConnLimit) || errors.Is(err, errReuseDelay) ||
+		errors.Is(err, errUnwritableRequest):
 		return balancer.NotSent // not the endpoint's fault
 	}
 	return balancer.ConnectFailed
--- a/internal/transport/http1/races_test.go
+++ b/internal/transport/http1/races_test.go
@@ -293,6 +293,8 @@
 	})
 	x.CancelUnsent()
 	wantResult(t, testutil.Receive(t, done, "the outcome"), balancer.Cancelled)
+	// An attempt that times out in this wait is not the endpoint's failure.
+	wantResult(t, run(p.newExchange(e, 20*time.Millisecond, testRequest("POST"))), balancer.NotSent)
 	if len(e.idle) != 1 || p.openConns != 1 || len(received) != 0 {
 		t.Errorf("%d idle connections, %d slots in use, %d requests sent; want 1, 1 and 0",
 			len(e.idle), p.openConns, len(received))
--- a/internal/transport/http1/reuse.go
+++ b/internal/transport/http1/reuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -19,6 +20,9 @@
 // connections are needed.
 const reuseDelay = 30 * time.Millisecond
 
+// errReuseDelay means that an exchange ended while it waited for the end of a reuseDelay.
+var errReuseDelay = errors.New("ended while no connection could be reused yet")
+
 // get returns the connection to e that a request is written to: the most recently used one whose reuseDelay is over, or
 // else the one whose reuseDelay ends next, for which it waits, or else a new one. It closes connections that have been
 // idle for maxIdle or longer. If the connection limit is reached, it closes the longest idle connection of some
@@ -85,7 +89,7 @@
 	case <-ctx.Done():
 		c.reuseTimer.Stop()
 		p.put(e, c)
-		return ctx.Err()
+		return errReuseDelay
 	}
 }
 
