Reserve the ports of test processes instead of choosing and releasing them

All test clusters use the same loopback addresses and run beside each other, in one process and in several (cmd/hazelwing, internal/testcluster/hollow and others). freePort chose a port with a listener on port 0, released it, and the link or the process bound it later; meanwhile another cluster could choose the same one.

Change: internal/portreserve keeps a listener on an address of its own for each reserved port, below the range from which Linux chooses ports, until the cluster is closed or the test ends. Two owners of one port cannot exist, on one machine and whatever the process. The class: all tests that chose a port and released it use it, also those that want connections to be refused (daemon processes of TestKilled and TestShare, [fleet] of the daemon, gossip, watch, http1, gRPC). TestRefusedConnectionFailsAtOnce skipped itself if another process had taken the port; it fails now.

--- a/cmd/hazelwing/kill_test.go
+++ b/cmd/hazelwing/kill_test.go
@@ -93,12 +93,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(fleet.Close)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &daemonProcess{t: t, fleet: fleet, addr: l.Addr().String()}
-	l.Close()
+	r := &daemonProcess{t: t, fleet: fleet, addr: testutil.ReserveAddr(t)}
 	text, err := emulator.PlatformConfig(traffic, r.addr, fleet.Discovery.Addr(), "7")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/hazelwing/shareproc_test.go
+++ b/cmd/hazelwing/shareproc_test.go
@@ -263,12 +263,7 @@
 		discovery.Set(h)
 		hosts = append(hosts, h)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &sidecarProcess{t: t, addr: l.Addr().String()}
-	l.Close()
+	r := &sidecarProcess{t: t, addr: testutil.ReserveAddr(t)}
 	text := sharePlatformConfig(t, r.addr, discovery, hosts, balancers, hedging)
 	dir := t.TempDir()
 	path := filepath.Join(dir, "platform.json")
--- a/internal/cluster/gossip/node_test.go
+++ b/internal/cluster/gossip/node_test.go
@@ -36,16 +36,10 @@
 	return s
 }
 
-// freeAddr returns a loopback address with a free TCP port. The nodes of the tests use it for
-// datagrams and streams.
+// freeAddr returns a loopback address with a reserved port. The nodes of the tests use it for datagrams and streams.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return netip.MustParseAddrPort(testutil.ReserveAddr(t))
 }
 
 // testNode is a running node that records the arguments of its callbacks.
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -21,12 +20,7 @@
 // [fleet], or further tables.
 func clusterConfig(t *testing.T, more string) *operator.Config {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
+	addr := testutil.ReserveAddr(t)
 	table := fmt.Sprintf("[fleet]\nname = \"f\"\nlisten = %q\nseeds = [%q]\nnetworks = [\"127.0.0.0/8\"]\n", addr, addr)
 	op, err := operator.Parse([]byte(table + more))
 	if err != nil {
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"maps"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -269,13 +268,8 @@
 // No process listens at the service's address. The watch must fail with an update that is not marked as reachable:
 // otherwise the balancer could not notice that the service is back, and would keep the long intervals of an outage.
 func TestServiceIsDown(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener.Close()
 	updates := make(chan engine.EndpointUpdate, 1)
-	client := NewClient(listener.Addr().String(), true, slog.New(slog.DiscardHandler))
+	client := NewClient(testutil.ReserveAddr(t), true, slog.New(slog.DiscardHandler))
 	defer client.Watch(1, 0, func(update engine.EndpointUpdate) { updates <- update })()
 	update := testutil.Receive(t, updates, "the failure")
 	if update.Kind != balancer.WatchFailed || update.Reachable {
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"hazelwing/internal/emulator"
+	"hazelwing/internal/portreserve"
 )
 
 // MaxMembers is the maximum number of members of a cluster.
@@ -62,6 +63,7 @@
 	members   []*process // indexed from 1; the element 0 is nil
 	origins   []*process // indexed from 1; nil if there are no origins
 	links     map[linkKey]*link
+	ports     portreserve.Set // ports of the listeners of the processes and links
 	seeds     []string
 	startedAt time.Time
 	script    string
@@ -158,7 +160,7 @@
 			program: c.config.Program,
 			dir:     filepath.Join(c.config.Dir, name),
 		}
-		if p.port, err = freePort(memberAddr(n).String()); err != nil {
+		if p.port, err = c.ports.Reserve(); err != nil {
 			return err
 		}
 		c.members = append(c.members, p)
@@ -199,6 +201,7 @@
 	for _, l := range c.links {
 		l.close()
 	}
+	c.ports.Close()
 	for _, p := range c.processes() {
 		if p.log != nil {
 			_ = p.log.Close()
--- a/internal/testcluster/memberfiles.go
+++ b/internal/testcluster/memberfiles.go
@@ -1,11 +1,9 @@
 package testcluster
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -20,7 +18,7 @@
 	if err := p.openLog(); err != nil {
 		return err
 	}
-	if err := p.chooseAddresses(); err != nil {
+	if err := c.chooseAddresses(p); err != nil {
 		return err
 	}
 	discovery, err := c.linkToDiscovery(p)
@@ -43,18 +41,16 @@
 	return c.writeOperatorFile(p)
 }
 
-// chooseAddresses sets the member's address for requests and the address of its admin endpoint. Their ports are free
-// now; the member listens on them when it starts. Each address has a separate IP address on which nothing else listens:
-// on a shared IP address, the same free port could be chosen for two listeners.
-func (p *process) chooseAddresses() error {
+// chooseAddresses sets the member's address for requests and the address of its admin endpoint. The member listens on
+// them when it starts.
+func (c *Cluster) chooseAddresses(p *process) error {
 	for i, address := range []*string{&p.listen, &p.admin} {
-		host := netip.AddrFrom4([4]byte{loopbackOctet, byte(requestOctet + i), 0, byte(p.number)})
-		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", host.String()+":0")
+		port, err := c.ports.Reserve()
 		if err != nil {
 			return err
 		}
-		defer func() { _ = listener.Close() }()
-		*address = listener.Addr().String()
+		host := netip.AddrFrom4([4]byte{loopbackOctet, byte(requestOctet + i), 0, byte(p.number)})
+		*address = netip.AddrPortFrom(host, port).String()
 	}
 	return nil
 }
@@ -89,7 +85,7 @@
 		return "", err
 	}
 	host := linkAddr(p.number, discoveryNumber)
-	port, err := freePort(host.String())
+	port, err := c.ports.Reserve()
 	if err != nil {
 		return "", err
 	}
--- a/internal/testcluster/origins.go
+++ b/internal/testcluster/origins.go
@@ -55,7 +55,7 @@
 		program:   c.config.Program,
 		arguments: []string{"origin", "run", "--file", filepath.Join(dir, originFileName)},
 	}
-	if p.port, err = freePort(memberAddr(p.number).String()); err != nil {
+	if p.port, err = c.ports.Reserve(); err != nil {
 		return nil, err
 	}
 	if err := p.openLog(); err != nil {
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -186,26 +186,3 @@
 	path := filepath.Join(p.dir, name)
 	return path, os.WriteFile(path, []byte(text), fileMode)
 }
-
-// portAttempts limits the number of ports that are tried to find one that is free for both TCP and UDP.
-const portAttempts = 50
-
-// freePort returns a port of a host that is free for both UDP and TCP.
-func freePort(host string) (uint16, error) {
-	var config net.ListenConfig
-	ctx := context.Background()
-	for range portAttempts {
-		tcp, err := config.Listen(ctx, "tcp", host+":0")
-		if err != nil {
-			return 0, err
-		}
-		port := tcp.Addr().(*net.TCPAddr).Port
-		udp, err := config.ListenPacket(ctx, "udp", fmt.Sprintf("%s:%d", host, port))
-		_ = tcp.Close()
-		if err == nil {
-			_ = udp.Close()
-			return uint16(port), nil
-		}
-	}
-	return 0, fmt.Errorf("no port of %s is free for both TCP and UDP: tried %d", host, portAttempts)
-}
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hazelwing/internal/portreserve"
 )
 
 // WaitTimeout limits a test's wait for an event that has to occur. It is long because the machine may be busy.
@@ -25,6 +28,25 @@
 // pollInterval is the time between two checks of a condition.
 const pollInterval = 100 * time.Microsecond
 
+// ReservePort returns a port that no other test and no other process uses until the test ends. See portreserve.Set.
+func ReservePort(t testing.TB) uint16 {
+	t.Helper()
+	var set portreserve.Set
+	t.Cleanup(set.Close)
+	port, err := set.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return port
+}
+
+// ReserveAddr returns an address of 127.0.0.1 with a reserved port. Connections to it are refused until the test or a
+// process that it starts listens on it.
+func ReserveAddr(t testing.TB) string {
+	t.Helper()
+	return fmt.Sprintf("127.0.0.1:%d", ReservePort(t))
+}
+
 // UnusedAddr is a loopback address on which nothing listens.
 const UnusedAddr = "127.0.0.1:1"
 
--- a/internal/transport/grpc/transport_test.go
+++ b/internal/transport/grpc/transport_test.go
@@ -199,12 +199,7 @@
 // An attempt to an endpoint that refuses connections must fail immediately with the result ConnectFailed, also if an
 // earlier attempt has failed: grpc-go by itself would wait for its backoff first.
 func TestRefusedConnectionFailsAtOnce(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
+	addr := testutil.ReserveAddr(t)
 	tr := newTransport(t, time.Second)
 	tr.Update(true, endpointList(addr, balancer.Active), time.Now())
 	for i := range 3 {
@@ -214,8 +209,9 @@
 				i, o.Result, o.Err, o.Elapsed, balancer.ConnectFailed)
 		}
 	}
-	if l, err = net.Listen("tcp", addr); err != nil {
-		t.Skipf("cannot listen on the address again, which another process may use: %v", err)
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
 	}
 	n := emulator.NewNode(emulator.NodeConfig{Name: "n", Speed: 1}, time.Time{}, emulator.NewRuleChecker())
 	srv := grpcnode.New(n, map[string]emulator.Effect{"c": emulator.Idempotent})
--- a/internal/transport/http1/http1_test.go
+++ b/internal/transport/http1/http1_test.go
@@ -313,13 +313,8 @@
 // ran, and the connection slot must be free again. Otherwise each refused dial would reduce the number of usable
 // connections.
 func TestRefusedConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.Close()
 	p := testPool()
-	e := addEndpoint(t, p, l.Addr().String())
+	e := addEndpoint(t, p, testutil.ReserveAddr(t))
 	wantResult(t, run(p.newExchange(e, testutil.WaitTimeout, testRequest("POST"))), balancer.ConnectFailed)
 	if p.openConns != 0 {
 		t.Errorf("%d connections are counted as open, want 0", p.openConns)
--- a/rpc/grpcbalancer/call_test.go
+++ b/rpc/grpcbalancer/call_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -272,18 +271,14 @@
 // The connection to one of two endpoints cannot be established. If an attempt waited for the connection until the
 // deadline, the call would fail. It must be retried on the other endpoint.
 func TestUnreachableEndpointIsAvoided(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.Close()
+	refused := testutil.ReserveAddr(t)
 	up := rawh2.Start(t, func(s *rawh2.Stream) {
 		if s.Complete {
 			s.OK(okMessage)
 		}
 	})
 	p := start(t, testConfig(Static(
-		Endpoint{Addr: l.Addr().String(), Zone: "a"},
+		Endpoint{Addr: refused, Zone: "a"},
 		Endpoint{Addr: up, Zone: "a"},
 	)))
 	for range 5 {
