TestKilled retries broken requests when the restarted daemon listens

The counts show it: 423 and 488 broken attempts for 72 requests in flight at the kills. A client made its four attempts within 60 ms, while the daemon needs longer to start on a busy machine, so that hardly any retry came to a restarted daemon. The test then tested little, and said so.

Change: after a broken attempt a client waits until the daemon listens. Rules, counts and bounds are the same.

--- a/cmd/hazelwing/kill_test.go
+++ b/cmd/hazelwing/kill_test.go
@@ -267,8 +267,23 @@
 			if outcome == served {
 				break
 			}
-			afterKill = afterKill || outcome == broken
 			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+			if outcome == broken {
+				afterKill = true
+				r.awaitDaemon(stop)
+			}
+		}
+	}
+}
+
+// awaitDaemon waits until the daemon runs or stop is closed. Without it, the retries of most requests come while the
+// daemon starts, above all on a busy machine, and none to the restarted daemon.
+func (r *daemonProcess) awaitDaemon(stop <-chan struct{}) {
+	for r.generation.Load()%2 == 0 {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Millisecond):
 		}
 	}
 }
