--- a/internal/engine/largelist_test.go
+++ b/internal/engine/largelist_test.go
@@ -16,9 +16,9 @@
 // timedRuns is the number of runs of which the fastest counts. On a busy machine, most runs are preempted.
 const timedRuns = 30
 
-// fastestRun returns the shortest of several times of the function that prepare returns. The time that prepare takes
-// itself does not count. The garbage collector does not run meanwhile: on a busy machine, a collection can take ten times
-// as long as the function.
+// fastestRun returns the shortest of several times of the function that prepare returns, without the time of prepare
+// itself. The garbage collector does not run meanwhile: on a busy machine, a collection can take ten times as long as
+// the function.
 func fastestRun(prepare func() (timed func())) time.Duration {
 	defer debug.SetGCPercent(debug.SetGCPercent(-1))
 	fastest := time.Hour
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-
 	"os"
 	"os/exec"
 	"path/filepath"
