config push waits for sidecars that reach an origin and have no upstream yet

It was known, though: it probes the origins once a second, with its name in a header that origins did not read. After the third sidecar had reached the others, the next push ended with 0, too, before it had subscribed.

Change: a probe of a member without an upstream says so, with its active revision (parameters that older origins ignore). An origin lists it in its report as "waiting", passes it on to the other origins, and forgets it 3 s after its last probe or once it reports. A waiting member is named and not counted, since it may be in another member's report a moment later. A push ends with 0 only if no waiting member lacks the revision. At most 1,024 are listed.

Class: a process that can be reached is left out of an account because it is not subscribed.

--- a/cmd/hazelwing/config.go
+++ b/cmd/hazelwing/config.go
@@ -74,13 +74,7 @@
 // isInForce reports whether all reachable members have activated a revision or a later one. Unreachable members are
 // named in the report, but not counted. If there are no reachable members, isInForce returns false.
 func isInForce(report *controlplane.Report, revision controlplane.Revision) bool {
-	active := 0
-	for _, a := range report.Active {
-		if a.Revision.Compare(revision) >= 0 {
-			active += a.Count
-		}
-	}
-	return report.Members > 0 && active == report.Members
+	return report.Members > 0 && !report.LacksAnywhere(revision)
 }
 
 func printReport(out io.Writer, report *controlplane.Report) error {
--- a/internal/controlplane/aggregator.go
+++ b/internal/controlplane/aggregator.go
@@ -7,7 +7,8 @@
 )
 
 // maxSubscribers limits the subscribers whose reports one member or origin combines, and also the subscribers that it
-// lists as disconnected. A higher value allows larger clusters, but lets a faulty peer take more memory.
+// lists as disconnected and the members that it lists as waiting. A higher value allows larger clusters, but lets a
+// faulty peer take more memory.
 const maxSubscribers = 1024
 
 // ReportAggregator combines the reports of subscribers into one. The zero value is empty. It is not safe for
@@ -15,6 +16,7 @@
 type ReportAggregator struct {
 	subscribers  map[string]subscriberReport
 	disconnected map[string]disconnectedSubscriber
+	waiting      map[string]waitingMember
 }
 
 type subscriberReport struct {
@@ -27,6 +29,12 @@
 	expiresAt time.Duration
 }
 
+// waitingMember is a member that is no subscriber and has no other upstream either.
+type waitingMember struct {
+	active    Revision
+	expiresAt time.Duration
+}
+
 // Add sets a subscriber's report, replacing its previous one. It returns false, and drops the report of a new
 // subscriber, if there are maxSubscribers already.
 func (a *ReportAggregator) Add(now time.Duration, subscriber string, r Report) bool {
@@ -41,9 +49,28 @@
 	r.sanitize()
 	a.subscribers[subscriber] = subscriberReport{report: r, receivedAt: now}
 	delete(a.disconnected, subscriber)
+	delete(a.waiting, subscriber)
 	return true
 }
 
+// AddWaiting lists a member as waiting for an upstream, unless it is a subscriber or maxSubscribers are listed already.
+// active is the member's active revision. The entry expires unless it is renewed within the retention time.
+func (a *ReportAggregator) AddWaiting(now time.Duration, name string, active Revision, retention time.Duration) {
+	name = printable(name, MaxNameLength)
+	if _, ok := a.subscribers[name]; ok {
+		return
+	}
+	if _, ok := a.waiting[name]; !ok && len(a.waiting) >= maxSubscribers {
+		return
+	}
+	if a.waiting == nil {
+		a.waiting = map[string]waitingMember{}
+	}
+	active.sanitize()
+	delete(a.disconnected, name)
+	a.waiting[name] = waitingMember{active: active, expiresAt: now + retention}
+}
+
 // Disconnect stops counting a subscriber and, unless maxSubscribers are listed already, lists it as disconnected for
 // the retention time. It does nothing for a subscriber that has sent no report. A member that moves to another upstream
 // is thus not counted twice, and operators can find a member that is gone by its name.
@@ -73,6 +100,7 @@
 	subscriber = printable(subscriber, MaxNameLength)
 	delete(a.subscribers, subscriber)
 	delete(a.disconnected, subscriber)
+	delete(a.waiting, subscriber)
 }
 
 // MarkReachable removes a member from the list of disconnected members, because another source shows that the member is
@@ -83,9 +111,9 @@
 	return len(a.disconnected) != before
 }
 
-// Expire disconnects subscribers that sent no report for maxSilence, and removes disconnected subscribers whose
-// retention time has passed. It reports whether anything has changed, and returns the time at which the next entry
-// expires, or 0 if there is no entry.
+// Expire disconnects subscribers that sent no report for maxSilence, and removes disconnected subscribers and waiting
+// members whose retention time has passed. It reports whether anything has changed, and returns the time at which the
+// next entry expires, or 0 if there is no entry.
 func (a *ReportAggregator) Expire(now, maxSilence, retention time.Duration) (changed bool, next time.Duration) {
 	for name, s := range a.subscribers {
 		if now-s.receivedAt >= maxSilence {
@@ -103,6 +131,14 @@
 			next = d.expiresAt
 		}
 	}
+	for name, w := range a.waiting {
+		if now >= w.expiresAt {
+			delete(a.waiting, name)
+			changed = true
+		} else if next == 0 || w.expiresAt < next {
+			next = w.expiresAt
+		}
+	}
 	return changed, next
 }
 
@@ -111,6 +147,7 @@
 	w := &ReportAggregator{
 		subscribers:  maps.Clone(a.subscribers),
 		disconnected: maps.Clone(a.disconnected),
+		waiting:      maps.Clone(a.waiting),
 	}
 	w.Add(0, subscriber, r)
 	return w
@@ -137,6 +174,7 @@
 	b := reportBuilder{
 		report:      Report{Latest: latest},
 		active:      map[Revision]int{},
+		waiting:     map[string]bool{},
 		gracePeriod: local != nil && local.GracePeriod,
 	}
 	if local != nil {
@@ -149,6 +187,9 @@
 	for _, name := range slices.Sorted(maps.Keys(a.disconnected)) {
 		b.addLaggard(a.disconnected[name].laggard)
 	}
+	for _, name := range slices.Sorted(maps.Keys(a.waiting)) {
+		b.addWaiting(Laggard{Name: name, Active: a.waiting[name].active, Reason: ReasonWaiting})
+	}
 	return b.build()
 }
 
@@ -156,6 +197,7 @@
 type reportBuilder struct {
 	report      Report
 	active      map[Revision]int // number of members by active revision
+	waiting     map[string]bool  // names of the waiting members in report
 	gracePeriod bool
 }
 
@@ -167,6 +209,15 @@
 	b.report.Laggards = append(b.report.Laggards, l)
 }
 
+// addWaiting adds a waiting member, unless the latest revision is active on it or another origin has named it, too.
+func (b *reportBuilder) addWaiting(l Laggard) {
+	if b.waiting[l.Name] || l.Active.Compare(b.report.Latest) >= 0 {
+		return
+	}
+	b.waiting[l.Name] = true
+	b.addLaggard(l)
+}
+
 func (b *reportBuilder) addLocal(m *LocalMember) {
 	b.report.Members++
 	b.active[m.Active]++
@@ -192,7 +243,13 @@
 		b.active[c.Revision] += c.Count
 	}
 	if r.Latest == b.report.Latest {
-		b.report.Laggards = append(b.report.Laggards, r.Laggards...)
+		for _, l := range r.Laggards {
+			if l.Reason == ReasonWaiting {
+				b.addWaiting(l)
+			} else {
+				b.report.Laggards = append(b.report.Laggards, l)
+			}
+		}
 		b.report.UnnamedLaggards += r.UnnamedLaggards
 		return
 	}
@@ -207,8 +264,11 @@
 		})
 	}
 	for _, l := range r.Laggards {
-		if l.Reason == ReasonDisconnected {
+		switch l.Reason {
+		case ReasonDisconnected:
 			b.addLaggard(l)
+		case ReasonWaiting:
+			b.addWaiting(l)
 		}
 	}
 }
--- a/internal/controlplane/format_test.go
+++ b/internal/controlplane/format_test.go
@@ -107,6 +107,7 @@
 		ReasonBehind:       "behind",
 		ReasonDisconnected: "cut",
 		ReasonRejected:     "refused",
+		ReasonWaiting:      "waiting",
 	} {
 		if string(reason) != want {
 			t.Errorf("the name of a reason in reports is %q, want %q", reason, want)
--- a/internal/controlplane/origin/events.go
+++ b/internal/controlplane/origin/events.go
@@ -2,8 +2,8 @@
 
 import "hazelwing/internal/controlplane"
 
-// Event is an input of a Node: Message, Propose, QueryOutcome, ReadLatest, ReportReceived, SubscriberDisconnected or
-// Tick.
+// Event is an input of a Node: Message, Propose, QueryOutcome, ReadLatest, ReportReceived, SubscriberDisconnected,
+// MemberWaiting or Tick.
 type Event interface{ originEvent() }
 
 // Message is a message from another origin, which that origin's Node returned as a Send. A message that is corrupt, or
@@ -41,6 +41,12 @@
 // SubscriberDisconnected says that a member's connection has ended.
 type SubscriberDisconnected struct{ From string }
 
+// MemberWaiting says that a member has probed this origin while it has no upstream. Active is its active revision.
+type MemberWaiting struct {
+	From   string
+	Active controlplane.Revision
+}
+
 // Tick says that time has passed. The caller sends one every Config.TickInterval.
 type Tick struct{}
 
@@ -50,6 +56,7 @@
 func (ReadLatest) originEvent()             {}
 func (ReportReceived) originEvent()         {}
 func (SubscriberDisconnected) originEvent() {}
+func (MemberWaiting) originEvent()          {}
 func (Tick) originEvent()                   {}
 
 // Action is an output of a Node: Persist, Send, Publish, Result or LogMessage. The caller executes them in order.
--- a/internal/controlplane/origin/node.go
+++ b/internal/controlplane/origin/node.go
@@ -29,6 +29,10 @@
 	// disconnectedRetention is how long reports name a disconnected member. A higher value leaves more time to find the
 	// member, but members that were shut down are named for longer.
 	disconnectedRetention = time.Minute
+	// waitingRetention is how long reports name a waiting member after its last probe. It covers two probes that are
+	// sent a second apart and take up to half a second. A higher value tolerates more lost probes, but a push waits
+	// longer for a member that has found another upstream.
+	waitingRetention = 3 * time.Second
 	// maxPeerReportAge is how long the report of another origin is used. After this time, that origin's members may
 	// have moved to this origin, which would count them twice. A higher value tolerates longer partitions, but counts
 	// such members twice for longer.
@@ -211,6 +215,8 @@
 		n.memberReports.Add(now, ev.From, ev.Report)
 	case SubscriberDisconnected:
 		n.memberReports.Disconnect(now, ev.From, disconnectedRetention)
+	case MemberWaiting:
+		n.memberReports.AddWaiting(now, ev.From, ev.Active, waitingRetention)
 	case Tick:
 		actions = n.handleTick(now, actions)
 	}
--- a/internal/controlplane/report.go
+++ b/internal/controlplane/report.go
@@ -41,12 +41,15 @@
 	// ReasonDisconnected means that the member's connection has ended or that its reports have stopped, and that gossip
 	// has not shown since then that the member is reachable and has the latest snapshot.
 	ReasonDisconnected LaggardReason = "cut"
-	ReasonRejected     LaggardReason = "refused" // the member cannot activate the snapshot; Error says why
+	// ReasonWaiting means that the member can reach an origin and has no upstream yet. It is in no other report, and
+	// Report.Members does not count it.
+	ReasonWaiting  LaggardReason = "waiting"
+	ReasonRejected LaggardReason = "refused" // the member cannot activate the snapshot; Error says why
 )
 
 // laggardReasonOrder is the order of reasons in a report. Members that reject a snapshot come first, because only an
-// operator can help them.
-var laggardReasonOrder = []LaggardReason{ReasonRejected, ReasonDisconnected, ReasonBehind}
+// operator can help them. Waiting members come next, because nothing else in the report shows that they exist.
+var laggardReasonOrder = []LaggardReason{ReasonRejected, ReasonWaiting, ReasonDisconnected, ReasonBehind}
 
 // rank returns the index of a reason in laggardReasonOrder. It returns 0 for an unknown reason, which another version
 // of the program may send, so that such laggards come first.
@@ -71,6 +74,20 @@
 		slices.Equal(r.Laggards, other.Laggards)
 }
 
+// LacksAnywhere reports whether a member that can be reached has not activated a revision or a later one: one of
+// Members, or a waiting one. Disconnected members do not count.
+func (r *Report) LacksAnywhere(revision Revision) bool {
+	active := 0
+	for _, c := range r.Active {
+		if c.Revision.Compare(revision) >= 0 {
+			active += c.Count
+		}
+	}
+	return active != r.Members || slices.ContainsFunc(r.Laggards, func(l Laggard) bool {
+		return l.Reason == ReasonWaiting && l.Active.Compare(revision) < 0
+	})
+}
+
 // ActiveOn returns the number of members on which a revision is active; 0 if the revision is not in Active.
 func (r *Report) ActiveOn(revision Revision) int {
 	for _, c := range r.Active {
@@ -138,7 +155,7 @@
 	l.Name = printable(l.Name, MaxNameLength)
 	l.Error = printable(l.Error, MaxErrorLength)
 	l.Active.sanitize()
-	if l.Reason != ReasonDisconnected && l.Reason != ReasonRejected {
+	if !slices.Contains(laggardReasonOrder, l.Reason) {
 		l.Reason = ReasonBehind
 	}
 }
--- a/internal/controlplane/report_test.go
+++ b/internal/controlplane/report_test.go
@@ -128,3 +128,67 @@
 		f.Report()
 	}
 }
+
+// A member that waits for an upstream is named until the revision is active on it or its entry has expired. It is named
+// once although several origins know of it, and it is not counted, since it may be in another report a moment later.
+func TestReportNamesWaitingMembers(t *testing.T) {
+	const retention = 3 * time.Second
+	latest, older := testRevision(17), testRevision(16)
+	var own, peer ReportAggregator
+	own.Add(0, "m1", Report{Members: 1, Latest: latest, Active: []RevisionCount{{Revision: latest, Count: 1}}})
+	own.AddWaiting(0, "m2", older, retention)
+	peer.AddWaiting(0, "m2", older, retention)
+	peer.AddWaiting(0, "m3", Revision{}, retention)
+	peer.AddWaiting(0, "m4", latest, retention)
+	own.AddWaiting(0, "m1", older, retention) // it is a subscriber
+	report := func() Report { return own.With("o2", peer.Aggregate(latest, nil)).Aggregate(latest, nil) }
+	check := func(what string, wantLacks bool, want ...string) {
+		t.Helper()
+		r := report()
+		var named []string
+		for _, l := range r.Laggards {
+			named = append(named, fmt.Sprintf("%s %s %v", l.Name, l.Reason, l.Active))
+		}
+		if fmt.Sprint(named) != fmt.Sprint(want) || r.Members != 1 || r.LacksAnywhere(latest) != wantLacks {
+			t.Errorf("%s: laggards %q, %d members, lacks anywhere: %v; want %q, 1 member, %v",
+				what, named, r.Members, r.LacksAnywhere(latest), want, wantLacks)
+		}
+	}
+	check("two members wait", true, "m2 waiting 3.16", "m3 waiting none")
+	own.AddWaiting(time.Second, "m2", latest, retention)
+	peer.AddWaiting(time.Second, "m2", latest, retention)
+	check("the revision is active on one of them", true, "m3 waiting none")
+	peer.AddWaiting(time.Second, "m3", older, retention)
+	if changed, next := peer.Expire(3*time.Second, time.Hour, time.Hour); !changed || next != 4*time.Second {
+		t.Errorf("Expire after 3 s: changed %v, next at %v; want m4 to expire, and the next entry at 4 s",
+			changed, next)
+	}
+	check("m3 was renewed", true, "m3 waiting 3.16")
+	peer.Expire(4*time.Second, time.Hour, time.Hour)
+	check("all entries have expired", false)
+	own.AddWaiting(4*time.Second, "m5", older, retention)
+	own.Add(4*time.Second, "m5", Report{Latest: latest})
+	check("m5 has subscribed", false)
+}
+
+// The number of waiting members that are listed is limited, whatever names the probes have.
+func TestWaitingMembersAreLimited(t *testing.T) {
+	var a ReportAggregator
+	for i := range maxSubscribers + 10 {
+		a.AddWaiting(0, fmt.Sprint("m", i), Revision{}, time.Second)
+	}
+	r := a.Aggregate(testRevision(17), nil)
+	if named := len(r.Laggards) + r.UnnamedLaggards; named != maxSubscribers {
+		t.Errorf("%d waiting members are listed, want %d", named, maxSubscribers)
+	}
+}
+
+// A report of an origin that does not have the latest revision yet still names the members that wait there.
+func TestWaitingMembersOfAnOriginThatIsBehind(t *testing.T) {
+	var own, peer ReportAggregator
+	peer.AddWaiting(0, "m1", testRevision(16), time.Second)
+	r := own.With("o2", peer.Aggregate(testRevision(17), nil)).Aggregate(testRevision(18), nil)
+	if len(r.Laggards) != 1 || r.Laggards[0].Name != "m1" || r.Laggards[0].Reason != ReasonWaiting {
+		t.Errorf("laggards %+v, want m1 as waiting", r.Laggards)
+	}
+}
--- a/internal/controlplane/transport/member.go
+++ b/internal/controlplane/transport/member.go
@@ -72,8 +72,9 @@
 	stopped       chan struct{} // closed when Run takes no more events
 	bytesReceived atomic.Int64  // bytes of snapshot text from upstreams
 
-	subscribeFromMu sync.Mutex
-	subscribeFrom   controlplane.Revision // revision published by the core; the next subscription requests later ones
+	revisionsMu   sync.Mutex
+	subscribeFrom controlplane.Revision // revision published by the core; the next subscription requests later ones
+	active        controlplane.Revision // the core's active revision
 
 	mu            sync.Mutex
 	selector      *bootstrap.Selector
--- a/internal/controlplane/transport/memberloop.go
+++ b/internal/controlplane/transport/memberloop.go
@@ -67,7 +67,7 @@
 	l.execute(ctx, l.initialActions)
 	for {
 		stats := l.core.Stats()
-		l.updatePublished(stats.Published)
+		l.updateRevisions(stats.Published, stats.Active)
 		l.updateReady(stats)
 		timer.Reset(max(0, l.core.NextTick()-l.now()))
 		select {
@@ -99,18 +99,18 @@
 	}
 }
 
-// updatePublished passes a changed published revision to OnRevision and to the next subscription.
-func (l *memberLoop) updatePublished(published controlplane.Revision) {
-	if published == l.published {
-		return
-	}
-	l.published = published
-	if l.cfg.OnRevision != nil {
-		l.cfg.OnRevision(published)
+// updateRevisions passes a changed published revision to OnRevision. It passes the published revision to the next
+// subscription, and the active one to the next probe of an origin.
+func (l *memberLoop) updateRevisions(published, active controlplane.Revision) {
+	if published != l.published {
+		l.published = published
+		if l.cfg.OnRevision != nil {
+			l.cfg.OnRevision(published)
+		}
 	}
-	l.subscribeFromMu.Lock()
-	l.subscribeFrom = published
-	l.subscribeFromMu.Unlock()
+	l.revisionsMu.Lock()
+	defer l.revisionsMu.Unlock()
+	l.subscribeFrom, l.active = published, active
 }
 
 // updateReady closes ready once the announced revision is active or was rejected. A process that starts waits for this
--- a/internal/controlplane/transport/origin.go
+++ b/internal/controlplane/transport/origin.go
@@ -57,7 +57,8 @@
 //	GET  /config/push?id=ID           the outcome of a push
 //	GET  /config/show                 the latest snapshot, confirmed by a majority; ?local=1: this origin's latest
 //	GET  /config/status               the state of this origin
-//	GET  /config/alive                204 if this origin participates in the consensus, 205 if it does not
+//	GET  /config/alive                204 if this origin participates in the consensus, 205 if it does not;
+//	                                  ?waiting=1&epoch=E&version=V: the sender has no upstream, E.V is active on it
 //	POST /origin/message              a message from another origin
 type Origin struct {
 	cfg            OriginConfig
--- a/internal/controlplane/transport/originhttp.go
+++ b/internal/controlplane/transport/originhttp.go
@@ -61,6 +61,7 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET " + alivePath:
+		o.recordWaiting(r)
 		o.server.serveAlive(w)
 	case "POST " + messagePath:
 		o.serveMessage(w, r)
@@ -78,6 +79,16 @@
 	}
 }
 
+// recordWaiting passes a probe of a member without an upstream to the node. It ignores other probes.
+func (o *Origin) recordWaiting(r *http.Request) {
+	sender := r.Header.Get(senderHeader)
+	active, ok := parseWaiting(r.URL.Query())
+	if !ok || sender == "" || len(sender) > controlplane.MaxNameLength {
+		return
+	}
+	o.post(nodeEvent{origin.MemberWaiting{From: sender, Active: active}})
+}
+
 // readBody reads the body of a request, of at most limit bytes. If that fails, readBody responds with the error,
 // closes the connection and returns false.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
--- a/internal/controlplane/transport/peerclient.go
+++ b/internal/controlplane/transport/peerclient.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"hazelwing/internal/controlplane"
@@ -167,11 +168,15 @@
 }
 
 // probeOrigin asks an origin whether it participates in the consensus. It returns the status of the response:
-// http.StatusNoContent if it does, http.StatusResetContent if it does not.
-func (c *peerClient) probeOrigin(ctx context.Context, addr string) (status int, err error) {
+// http.StatusNoContent if it does, http.StatusResetContent if it does not. parameters are nil or from formatWaiting.
+func (c *peerClient) probeOrigin(ctx context.Context, addr string, parameters url.Values) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	request, err := c.newRequest(ctx, http.MethodGet, addr, alivePath, nil)
+	path := alivePath
+	if len(parameters) > 0 {
+		path += "?" + parameters.Encode()
+	}
+	request, err := c.newRequest(ctx, http.MethodGet, addr, path, nil)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/controlplane/transport/protocol.go
+++ b/internal/controlplane/transport/protocol.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -62,6 +64,40 @@
 	errBetterUpstream = errors.New("a better upstream is available")
 )
 
+// Parameters of alivePath in a probe of a member that has no upstream. Members of earlier versions do not send them.
+const (
+	waitingParameter = "waiting"
+	waitingValue     = "1"
+	epochParameter   = "epoch"
+	versionParameter = "version"
+)
+
+// formatWaiting returns the parameters of a probe by a member that has no upstream and the given active revision.
+func formatWaiting(active controlplane.Revision) url.Values {
+	return url.Values{
+		waitingParameter: {waitingValue},
+		epochParameter:   {strconv.FormatUint(active.Epoch, 10)},
+		versionParameter: {strconv.FormatUint(active.Version, 10)},
+	}
+}
+
+// parseWaiting returns the active revision in the parameters of a probe. It returns false unless the sender has no
+// upstream and the parameters are valid.
+func parseWaiting(parameters url.Values) (active controlplane.Revision, ok bool) {
+	if parameters.Get(waitingParameter) != waitingValue {
+		return active, false
+	}
+	epoch, err := strconv.ParseUint(parameters.Get(epochParameter), 10, 64)
+	if err != nil {
+		return active, false
+	}
+	version, err := strconv.ParseUint(parameters.Get(versionParameter), 10, 64)
+	if err != nil {
+		return active, false
+	}
+	return controlplane.Revision{Epoch: epoch, Version: version}, true
+}
+
 // line is one line of a subscription. An empty line is a keep-alive.
 type line struct {
 	Path     []string               `json:"path,omitempty"`  // names from the upstream to the origin
--- a/internal/controlplane/transport/upstream.go
+++ b/internal/controlplane/transport/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -76,7 +77,7 @@
 
 // awaitSelection waits until the selector may be called again: after delay or upstreamCheckInterval, whichever is
 // shorter, or when the membership view changes. If the view has not changed, and this member should subscribe to an
-// origin, awaitSelection then probes the next origin with probeNextOrigin.
+// origin, awaitSelection then probes the next origin with probeWhileWaiting.
 func (m *Member) awaitSelection(
 	ctx context.Context, delay time.Duration, viewChanged <-chan struct{}, originIndex *int,
 ) {
@@ -85,7 +86,7 @@
 	case <-viewChanged:
 	case <-time.After(min(delay, upstreamCheckInterval)):
 		if m.shouldFollowOrigin() {
-			m.probeNextOrigin(ctx, originIndex, true)
+			m.probeWhileWaiting(ctx, originIndex)
 		}
 	}
 }
@@ -116,9 +117,9 @@
 func (m *Member) followUpstream(
 	ctx context.Context, selection bootstrap.Selection, originIndex *int,
 ) (answered bool, err error) {
-	m.subscribeFromMu.Lock()
+	m.revisionsMu.Lock()
 	from := m.subscribeFrom
-	m.subscribeFromMu.Unlock()
+	m.revisionsMu.Unlock()
 	watch, err := m.client.subscribe(ctx, m.targetsOf(selection, *originIndex), from)
 	if err != nil {
 		return false, err
@@ -243,7 +244,14 @@
 	if s.selection.Discovery {
 		mayProbe = s.nonParticipating.Load()
 	}
-	return mayProbe && m.probeNextOrigin(ctx, &s.originIndex, false)
+	if !mayProbe {
+		return false
+	}
+	isBetter := m.probeNextOrigin(ctx, &s.originIndex, nil) == http.StatusNoContent
+	if isBetter {
+		m.reportReachableOrigin()
+	}
+	return isBetter
 }
 
 // shouldFollowOrigin reports whether this member is a root of the tree, which should subscribe to an origin.
@@ -253,29 +261,40 @@
 	return m.selector.Rank() < m.cfg.Selector.Roots
 }
 
-// probeNextOrigin probes the next origin and reports whether it participates. With acceptNonParticipating, it also
-// returns true for an origin that responds that it does not participate. Before it returns true, it tells the
-// selector that an origin can be reached.
+// probeWhileWaiting probes the next origin on behalf of a member that has no upstream. The probe tells the origin so,
+// since no report names this member. If an origin responds, also one that does not participate, probeWhileWaiting tells
+// the selector that an origin can be reached.
+func (m *Member) probeWhileWaiting(ctx context.Context, originIndex *int) {
+	m.revisionsMu.Lock()
+	active := m.active
+	m.revisionsMu.Unlock()
+	switch m.probeNextOrigin(ctx, originIndex, formatWaiting(active)) {
+	case http.StatusNoContent, http.StatusResetContent:
+		m.reportReachableOrigin()
+	}
+}
+
+// probeNextOrigin probes the next origin and returns the status of its response; 0 if there is none.
 //
 // The selector avoids an origin for some time after it was unreachable. Without probes, a member would stay with a
 // peer, or without an upstream, until this time has passed, although the network has recovered. Only members that
 // should subscribe to an origin, or are subscribed to an origin that does not participate, send probes, each about one
 // per upstreamCheckInterval.
-func (m *Member) probeNextOrigin(ctx context.Context, originIndex *int, acceptNonParticipating bool) bool {
+func (m *Member) probeNextOrigin(ctx context.Context, originIndex *int, parameters url.Values) (status int) {
 	*originIndex++
 	origin := m.cfg.Origins[*originIndex%len(m.cfg.Origins)]
-	status, err := m.client.probeOrigin(ctx, origin)
+	status, err := m.client.probeOrigin(ctx, origin, parameters)
 	if err != nil {
-		return false
-	}
-	isAccepted := status == http.StatusNoContent || acceptNonParticipating && status == http.StatusResetContent
-	if !isAccepted {
-		return false
+		return 0
 	}
+	return status
+}
+
+// reportReachableOrigin tells the selector that an origin can be reached.
+func (m *Member) reportReachableOrigin() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.selector.ReportReachable(bootstrap.Selection{Discovery: true})
-	m.mu.Unlock()
-	return true
 }
 
 // sleep waits for d. It returns false if ctx is done.
