The delay before the origins are called begins with the first peer that fails

Traced here: the last members lost their upstream at the end of the 1.5 s of silence, and then tried three or four peers of the other region, 0.5 s of dial each, since the view lists them for 6 s. Only after the last one Selector.fallback drew the random delay (up to 2.95 s for 590 members and 200 calls a second), so that it came on top: member 481 at 18.53 s, 1.53 s after the loss.

Change: ReportFailure of a peer draws the delay, so that the peers are tried within it. The rate of calls is as before, since it comes from the draw. The relay of the endpoint list uses the same selector.

Measured: TestPeersAreTriedWithinTheDelay (rapid: any size, rate and member) fails before ("1.98 s after the loss, want at most 1.5 s"), passes now; TestCallRateWithoutPeers as before.

--- a/internal/discovery/bootstrap/fallback.go
+++ b/internal/discovery/bootstrap/fallback.go
@@ -30,17 +30,31 @@
 }
 
 // fallback selects the discovery service for a member without a usable peer, after a random delay that is drawn once.
-//
-// The delay is such that size members together make Config.MaxCallRate calls per second. This prevents a cluster whose
-// members cannot reach each other from overloading the discovery service.
-func (s *Selector) fallback(now time.Duration, size int) Selection {
-	if s.fallbackAt == 0 {
-		seconds := s.rng.Float64() * float64(size) / s.cfg.MaxCallRate
-		// 1 is added because 0 means that no time has been drawn.
-		s.fallbackAt = now + time.Duration(seconds*float64(time.Second)) + 1
-	}
+func (s *Selector) fallback(now time.Duration) Selection {
+	s.drawFallback(now)
 	if delay := s.fallbackAt - now; delay > 0 {
 		return Selection{Delay: delay}
 	}
 	return Selection{Discovery: true}
 }
+
+// drawFallback draws the time from which this member may call the discovery service without a usable peer, unless it
+// has been drawn already.
+//
+// The delay is such that all members together make Config.MaxCallRate calls per second. This prevents a cluster whose
+// members cannot reach each other from overloading the discovery service.
+func (s *Selector) drawFallback(now time.Duration) {
+	if s.fallbackAt != 0 {
+		return
+	}
+	size := len(s.order)
+	if s.isAlone() {
+		size = s.cfg.ConfiguredSize
+	}
+	seconds := s.rng.Float64() * float64(size) / s.cfg.MaxCallRate
+	// 1 is added because 0 means that no time has been drawn.
+	s.fallbackAt = now + time.Duration(seconds*float64(time.Second)) + 1
+}
+
+// isAlone reports whether other sidecars are configured, and none has been reached.
+func (s *Selector) isAlone() bool { return !s.joined && s.cfg.ConfiguredSize > 1 }
--- a/internal/discovery/bootstrap/selector.go
+++ b/internal/discovery/bootstrap/selector.go
@@ -118,8 +118,8 @@
 	if delay := s.joinDelay(now); delay > 0 {
 		return Selection{Delay: delay}
 	}
-	if !s.joined && s.cfg.ConfiguredSize > 1 {
-		return s.fallback(now, s.cfg.ConfiguredSize)
+	if s.isAlone() {
+		return s.fallback(now)
 	}
 	if s.isRoot() && !s.exclusions.contains(now, discoveryName) {
 		return Selection{Discovery: true}
@@ -129,7 +129,7 @@
 			return Selection{Peer: peer}
 		}
 	}
-	return s.fallback(now, len(s.order))
+	return s.fallback(now)
 }
 
 // ReportSuccess records that the selected source delivers the list.
@@ -147,11 +147,15 @@
 // probe would draw a new delay for it. This holds because the delay that was drawn stays.
 func (s *Selector) ReportReachable(source Selection) { s.exclusions.remove(source.sourceName()) }
 
-// ReportFailure records that the selected source does not deliver the list, or has stopped delivering it.
+// ReportFailure records that the selected source does not deliver the list, or has stopped delivering it. The delay
+// before a call of the discovery service begins with the first peer that fails, and not after the last one: each peer
+// that cannot be reached takes the time of a dial, while the membership view still lists it.
 func (s *Selector) ReportFailure(now time.Duration, selected Selection) {
 	s.working = false
 	if selected.Discovery {
 		s.fallbackAt = 0
+	} else {
+		s.drawFallback(now)
 	}
 	s.exclusions.add(now, selected.sourceName(), s.rng.Float64())
 }
--- a/internal/discovery/bootstrap/selector_test.go
+++ b/internal/discovery/bootstrap/selector_test.go
@@ -275,3 +275,47 @@
 		t.Error("ShouldSwitch returned false for a peer of the only member, want true")
 	}
 }
+
+// Guards against a member that calls the discovery service too late: it loses its source, and each peer that it tries
+// takes the time of a dial, because the membership view still lists the unreachable ones. It must call the service
+// within its random delay after the loss, and not within the delay after the last dial.
+func TestPeersAreTriedWithinTheDelay(t *testing.T) {
+	const dialTimeout = 500 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(10, 600).Draw(t, "size")
+		rate := rapid.IntRange(10, 200).Draw(t, "calls per second")
+		s := New(Config{
+			Self:           fmt.Sprint("m", rapid.IntRange(0, size-1).Draw(t, "self")),
+			Roots:          3,
+			FanOut:         16,
+			MaxCallRate:    float64(rate),
+			ConfiguredSize: size,
+			RandomSeed:     rapid.Uint64().Draw(t, "seed"),
+		}, 0)
+		s.UpdateMembers(0, without(testMembers(size), s.cfg.Self), true)
+		lostAt := time.Minute
+		selected := s.Select(lostAt)
+		if selected.Discovery {
+			return // a root
+		}
+		s.ReportSuccess(lostAt, selected)
+		s.ReportFailure(lostAt, selected)
+		latest := lostAt + time.Duration(size)*time.Second/time.Duration(rate) + dialTimeout + 1
+		for now := lostAt; ; {
+			selected := s.Select(now)
+			switch {
+			case selected.Discovery:
+				if now > latest {
+					t.Fatalf("the discovery service is called %v after the loss, want at most %v",
+						now-lostAt, latest-lostAt)
+				}
+				return
+			case selected.Delay > 0:
+				now += selected.Delay
+			default:
+				now += dialTimeout
+				s.ReportFailure(now, selected)
+			}
+		}
+	})
+}
