--- a/internal/controlplane/fetch.go
+++ b/internal/controlplane/fetch.go
@@ -18,7 +18,8 @@
 // fetchHint records that a peer has a later snapshot than this member, and the time at which to fetch this snapshot.
 type fetchHint struct {
 	peer       PeerRevision
-	dueAt      time.Duration // time of the fetch; 0 if there is no hint
+	pending    bool          // whether there is a hint
+	dueAt      time.Duration // time of the fetch; valid if pending
 	earliestAt time.Duration // no fetch starts before this time
 	backoff    time.Duration // minimum time between the next fetch and the fetch after it
 }
@@ -30,7 +31,7 @@
 // The fetch is due FetchDelay after the first hint, or later if an earlier fetch requires a longer wait (backoff). It
 // is not made if the upstream has delivered the snapshot by then. Later hints do not postpone the fetch. The fetch
 // prevents a member whose upstream is unreachable from keeping an old configuration. The delay prevents all members
-// from fetching a change that their upstreams deliver in time.
+// from fetching a change that their upstreams deliver in time, so a member that has lost its upstream does not wait.
 func (f *Follower) handlePeerRevision(now time.Duration, p PeerRevision) {
 	p.Revision.Hash = ""
 	order := p.Revision.Compare(f.published.Revision)
@@ -40,21 +41,38 @@
 	if order <= 0 || p.Revision.Compare(f.highest) < 0 {
 		return
 	}
-	if f.fetch.dueAt == 0 {
+	if !f.fetch.pending {
+		f.fetch.pending = true
 		f.fetch.peer = p
-		f.fetch.dueAt = max(now+f.cfg.FetchDelay, f.fetch.earliestAt)
+		f.fetch.dueAt = max(now+f.fetchDelay(), f.fetch.earliestAt)
 	} else if p.Revision.Compare(f.fetch.peer.Revision) > 0 {
 		f.fetch.peer = p
 	}
 }
 
+// fetchDelay returns the time that the upstream has to deliver a snapshot that a peer has announced.
+func (f *Follower) fetchDelay() time.Duration {
+	if f.upstreamLost {
+		return 0
+	}
+	return f.cfg.FetchDelay
+}
+
+// handleUpstreamLost makes a fetch due that waits for the upstream.
+func (f *Follower) handleUpstreamLost(now time.Duration) {
+	f.upstreamLost = true
+	if f.fetch.pending {
+		f.fetch.dueAt = max(now, f.fetch.earliestAt)
+	}
+}
+
 // fetchIfDue fetches the snapshot of the recorded hint if the upstream has not delivered it in time.
 func (f *Follower) fetchIfDue(now time.Duration, actions []Action) []Action {
 	h := &f.fetch
-	if h.dueAt == 0 || now < h.dueAt {
+	if !h.pending || now < h.dueAt {
 		return actions
 	}
-	h.dueAt = 0
+	h.pending = false
 	if h.peer.Revision.Compare(f.published.Revision) <= 0 {
 		return actions
 	}
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -29,8 +29,8 @@
 	Self    string          // the member's name
 	Cached  *CachedSnapshot // cached by the previous run; nil if there is none
 	// FetchDelay is the time that the upstream has to deliver a revision after a peer has announced it by gossip;
-	// default 300 ms. A higher value makes fewer fetches while a change spreads, but delays the change where the
-	// upstream is broken.
+	// default 300 ms. A member that has lost its upstream does not wait. A higher value makes fewer fetches while a
+	// change spreads, but delays the change where the upstream is broken.
 	FetchDelay time.Duration
 	// MinReportInterval and MaxReportInterval limit the time between two reports to the upstream; defaults 100 ms and
 	// 10 s. ReportDelay is how long a change waits for further changes to go into the same report; default 30 ms.
@@ -90,7 +90,9 @@
 	confirmedAt time.Duration // when an upstream last confirmed or sent the published snapshot; at first the start
 	applying    *Snapshot     // snapshot of the outstanding Apply; nil if there is none
 	queued      *Snapshot     // latest snapshot that waits for the outstanding Apply; nil if there is none
-	rejection   error         // why the published snapshot cannot be activated; nil if it is active or not applied yet
+	// upstreamLost is whether the upstream was lost and no upstream has confirmed the published snapshot since.
+	upstreamLost bool
+	rejection    error // why the published snapshot cannot be activated; nil if it is active or not applied yet
 
 	fetch       fetchHint
 	subscribers ReportAggregator
@@ -138,7 +140,9 @@
 		actions = f.handleSnapshot(now, ev, actions)
 	case UpstreamConfirmed:
 		f.confirm(now)
+		f.upstreamLost = false
 	case UpstreamLost: // the active snapshot stays active
+		f.handleUpstreamLost(now)
 	case PeerRevision:
 		f.handlePeerRevision(now, ev)
 	case ApplyResult:
@@ -290,7 +294,7 @@
 // NextTick returns the latest time at which the caller must send a Tick.
 func (f *Follower) NextTick() time.Duration {
 	at := f.nextReport()
-	if f.fetch.dueAt != 0 {
+	if f.fetch.pending {
 		at = min(at, f.fetch.dueAt)
 	}
 	if logAt, ok := f.log.Next(); ok {
