TestDrainIsNoticedInTime: a delayed response does not keep requests from the first server

The sidecar rightly prefers the second server, which answers in 21 ms, until the peak estimate of the first one has decayed, which takes longer than the test.

Change: the second server answers in 0.5 s, so that its pending requests soon outweigh the first one's delayed response. All checks and bounds are the same, that requests come after the drain, too.

--- a/internal/daemon/drainnotice_test.go
+++ b/internal/daemon/drainnotice_test.go
@@ -33,6 +33,11 @@
 	slack = 250 * time.Millisecond
 )
 
+// serverDelays are the response times of the servers. The sidecar prefers the first one, which drains. The second one is
+// so slow that its pending requests outweigh a response of the first one that a busy machine has delayed by a second or
+// two: after such a response just before the drain, the first server would get no request for more than 5 s.
+var serverDelays = [2]time.Duration{time.Millisecond, 500 * time.Millisecond}
+
 // callHandler handles one call to discovery.
 type callHandler func(w http.ResponseWriter, r *http.Request)
 
@@ -250,8 +255,7 @@
 	for i := range dial {
 		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			d.lastRequest[i].Store(time.Now().UnixNano())
-			// The sidecar prefers the first server, which drains, because the second one is slower.
-			time.Sleep(time.Duration(1+20*i) * time.Millisecond)
+			time.Sleep(serverDelays[i])
 			send(w, "ok")
 		}))
 		t.Cleanup(node.Close)
