Take the next generation where the refutation counter is at its limit

The limit on raises within a minute holds. Only a generation that has reached the limit as well still leaves a member without an answer; it takes 1 << 48 restarts, or a peer that sends that generation, which nothing here can tell from a later process.

--- a/internal/cluster/self.go
+++ b/internal/cluster/self.go
@@ -14,13 +14,13 @@
 
 // mergeOwnEntry handles an entry with this member's name. It refutes an entry that reports
 // this process suspect or dead, unless this process has a higher counter already. It takes
-// the next generation if the entry is about another process and takes precedence, or if the
-// entry reports this process as left, which is a final state. A member that is leaving
-// refutes nothing.
+// the next generation if the entry is about another process and takes precedence, if the
+// entry reports this process as left, which is a final state, or if it cannot be refuted
+// with a higher counter, because it has MaxCounter. A member that is leaving refutes nothing.
 //
-// The refutation has a higher counter than the refuted entry, so every member accepts the
-// refutation, unless the counter exceeds MaxCounter. This prevents a live member from being
-// declared dead because of one lost probe.
+// The refutation has a higher counter or generation than the refuted entry, so every member
+// accepts the refutation, unless the generation has reached MaxCounter, too. This prevents a
+// live member from being declared dead because of one lost probe.
 func (c *Core) mergeOwnEntry(e Entry) {
 	if !e.SameProcess(c.self.Incarnation) {
 		if e.Compare(c.self.Incarnation) > 0 {
@@ -33,7 +33,7 @@
 		// A higher counter means that another process claimed to be this one. Later updates must not have a lower
 		// counter.
 		c.self.Refutations = max(c.self.Refutations, e.Refutations)
-	case e.State == Left:
+	case e.State == Left || e.Refutations >= MaxCounter:
 		c.raiseGeneration(e.Incarnation)
 	case e.Refutations >= c.self.Refutations:
 		c.self.Refutations = e.Refutations + 1
