Reject notices that fit in no datagram or that no other notice supersedes

A notice of 2,000 bytes fits in no datagram, and piggyback ends at the first broadcast that does not fit, so that nothing behind it was sent until the notice expired (30 s). Beside it: a start time that is not a finite number is superseded by no later notice about that endpoint.

Change: isValidNotice bounds both names and wants a finite start time; mergeNotice rejects the others and counts them.

Class: a value of a peer that is passed on unchecked. Entries were bounded already.

--- a/internal/cluster/notices.go
+++ b/internal/cluster/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -29,7 +30,7 @@
 // process removal takes precedence over draining. This prevents a notice about a process
 // that was replaced from excluding the new process.
 func (c *Core) mergeNotice(n EndpointNotice) {
-	if n.Endpoint == "" || len(n.Endpoint) > MaxNameLength || n.Age < 0 || n.Age >= c.cfg.NoticeTTL {
+	if !c.isValidNotice(&n) {
 		c.stats.Rejected++
 		return
 	}
@@ -48,6 +49,16 @@
 	}
 }
 
+// isValidNotice reports whether a notice may be accepted.
+//
+// Guard: prevents one notice from blocking the broadcasts behind it, because it fits in no datagram, and from being
+// superseded by no other one. This holds because its names have a maximum length and its start time is a finite number.
+func (c *Core) isValidNotice(n *EndpointNotice) bool {
+	return n.Endpoint != "" && len(n.Endpoint) <= MaxNameLength && len(n.ReportedBy) <= MaxNameLength &&
+		!math.IsNaN(n.StartedMS) && !math.IsInf(n.StartedMS, 0) &&
+		n.Age >= 0 && n.Age < c.cfg.NoticeTTL
+}
+
 // removeExpiredNotices removes notices older than NoticeTTL. This limits how long a notice
 // has an effect if it is wrong, or if the endpoint's process has been replaced.
 func (c *Core) removeExpiredNotices() {
