--- a/internal/daemon/drainnotice_test.go
+++ b/internal/daemon/drainnotice_test.go
@@ -33,9 +33,9 @@
 	slack = 250 * time.Millisecond
 )
 
-// serverDelays are the response times of the servers. The sidecar prefers the first one, which drains. The second one is
-// so slow that its pending requests outweigh a response of the first one that a busy machine has delayed by a second or
-// two: after such a response just before the drain, the first server would get no request for more than 5 s.
+// serverDelays are the response times of the servers. The sidecar prefers the first one, which drains. The second one
+// is so slow that its pending requests outweigh a response of the first one that a busy machine has delayed by a second
+// or two: after such a response just before the drain, the first server would get no request for more than 5 s.
 var serverDelays = [2]time.Duration{time.Millisecond, 500 * time.Millisecond}
 
 // callHandler handles one call to discovery.
