Apply all removals of an endpoint update, and add new endpoints after them

Merger.Apply cut the update off at the limit, with the removals behind it; source.apply added new endpoints before removeAbsent took out those that a complete list no longer named, so that the new ones found no room and the list was emptied down to its last endpoint.

Change: removals of an update, also those by absence from a complete list, are applied first and all of them. Then new endpoints take the places that are left, in the update's order; those that are listed already keep theirs. Only what finds no place is dropped, and counted.

Class: a bound on memory that also drops what frees it.

--- a/internal/discovery/merger.go
+++ b/internal/discovery/merger.go
@@ -16,11 +16,10 @@
 //
 // # Limits
 //
-// The list of a source holds at most Config.MaxEndpoints endpoints. Endpoints of an update beyond this number are
-// dropped and counted. New endpoints that an update adds to a full list are dropped and not counted, also if a complete
-// update no longer lists the old ones. A tombstone (the record of a removal) is kept for Config.TombstoneTTL after any
-// source last listed its endpoint, and each source has at most Config.MaxEndpoints tombstones. A Merger is not safe for
-// concurrent use.
+// The list of a source holds at most Config.MaxEndpoints endpoints. Further endpoints are dropped and counted. The
+// removals of an update have no limit, and come before its additions. A tombstone (the record of a removal) is kept for
+// Config.TombstoneTTL after any source last listed its endpoint, and each source has at most Config.MaxEndpoints
+// tombstones. A Merger is not safe for concurrent use.
 package discovery
 
 import (
@@ -74,15 +73,10 @@
 		return m.reconcile(now)
 	}
 	s.seq, s.hasUpdate, s.failedAt = update.Seq, true, notFailed
-	endpoints := update.Endpoints
-	if len(endpoints) > m.cfg.MaxEndpoints {
-		m.dropped += len(endpoints) - m.cfg.MaxEndpoints
-		endpoints = endpoints[:m.cfg.MaxEndpoints]
-	}
-	received := s.apply(now, endpoints, m.cfg.MaxEndpoints)
 	if update.Complete {
-		s.removeAbsent(now, received)
+		s.removeAbsent(now, update.Endpoints)
 	}
+	m.dropped += s.apply(now, update.Endpoints, m.cfg.MaxEndpoints)
 	return m.reconcile(now)
 }
 
@@ -129,5 +123,5 @@
 	return list
 }
 
-// Dropped returns how many endpoints were ignored because their updates had more than Config.MaxEndpoints.
+// Dropped returns how many endpoints were ignored because their sources listed more than Config.MaxEndpoints.
 func (m *Merger) Dropped() int { return m.dropped }
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -41,33 +41,60 @@
 	}
 }
 
-// apply applies the endpoints of an update to the source's list and tombstones, and returns their keys. New endpoints
-// are ignored while the list holds maxEndpoints. The list of an indirect source stays empty.
-func (s *source) apply(now time.Duration, endpoints []Endpoint, maxEndpoints int) (received map[string]bool) {
-	received = map[string]bool{}
+// apply applies the endpoints of an update to the source's list and tombstones. It returns the number of endpoints that
+// were dropped because the list holds maxEndpoints. The list of an indirect source stays empty.
+//
+// Guard: prevents requests from going to removed endpoints, or to none, while the list is full. This holds because all
+// removals of the update are applied, and new endpoints take the places that they leave.
+func (s *source) apply(now time.Duration, endpoints []Endpoint, maxEndpoints int) (dropped int) {
+	var order []string             // keys of new endpoints, in the order of the update
+	added := map[string]Endpoint{} // new endpoints, by key
 	for _, e := range endpoints {
 		key := e.key()
-		received[key] = true
 		if e.State != balancer.Active {
 			s.remove(now, key, e, true)
+			delete(added, key)
 			continue
 		}
 		if t, ok := s.tombstones[key]; ok && (e.StartedAtMS == 0 || e.StartedAtMS >= t.StartedAtMS) {
 			delete(s.tombstones, key) // the source withdraws its removal
 		}
-		if s.Indirect {
-			continue
+		switch {
+		case s.Indirect:
+		case s.lists(key):
+			s.endpoints[key] = e
+		default:
+			order = append(order, key)
+			added[key] = e
 		}
-		if len(s.endpoints) < maxEndpoints || s.endpoints[key].Addr != "" {
+	}
+	for _, key := range order {
+		e, ok := added[key]
+		switch {
+		case !ok: // it was removed by a later entry, or its key occurs twice
+		case len(s.endpoints) < maxEndpoints:
 			s.endpoints[key] = e
+		default:
+			dropped++
 		}
+		delete(added, key)
 	}
-	return received
+	return dropped
 }
 
-// removeAbsent deletes from the source's list the endpoints that are missing from a complete update. received has the
-// keys of the update's endpoints. Each deleted endpoint gets a tombstone if SourceConfig.AbsenceMeansRemoved is set.
-func (s *source) removeAbsent(now time.Duration, received map[string]bool) {
+// lists reports whether an endpoint is in the source's list.
+func (s *source) lists(key string) bool {
+	_, ok := s.endpoints[key]
+	return ok
+}
+
+// removeAbsent deletes from the source's list the endpoints that are missing from a complete update. Each deleted
+// endpoint gets a tombstone if SourceConfig.AbsenceMeansRemoved is set.
+func (s *source) removeAbsent(now time.Duration, update []Endpoint) {
+	received := map[string]bool{}
+	for _, e := range update {
+		received[e.key()] = true
+	}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		switch {
 		case received[key]:
