The comment of errMalformedEvent refers to the rule that it contradicted

resumeVersion and errMalformedEvent gave opposite reasons for the same rule, that the next watch starts from the complete list: the service counts the event as delivered, and the service would send it again. The first one is the rule's: what a watch has written counts as told.

--- a/internal/discovery/watch/errors.go
+++ b/internal/discovery/watch/errors.go
@@ -12,7 +12,7 @@
 	// event or of the complete list is abandoned for the same reason.
 	errNoData = errors.New("no data received")
 	// errMalformedEvent is returned for data that is not an event of a watch. The next watch starts from the complete
-	// list, because the service would send the same data again.
+	// list; see listTracker.resumeVersion.
 	errMalformedEvent = errors.New("malformed watch event")
 	// errSecondList is returned for an event in parts that has its list of entries twice.
 	errSecondList = errors.New("the event has two lists of entries")
