A partial DNS answer removes no more than the share of the list that one source may

A DNS answer may be partial, so one of three or of thirty names left one endpoint where only DNS lists them.

Change: these endpoints together have a budget like that of a source: members.share of the list within members.window. One may go in each window whatever the share: nobody will report its removal, and a list of two would keep it for good (a share of 0.3, the default).

Cost: where a name service alone lists endpoints and all of them are replaced at once, the former ones stay for some windows; requests to them fail and count against them.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -43,8 +43,9 @@
 	// excludes endpoints that a slow source lists again after a long time, but uses more memory.
 	TombstoneTTL time.Duration
 	// MaxRemovalShare is the share of the list, above 0 and at most 1, that may be removed within RemovalWindow because
-	// one source has stopped listing the endpoints. The limit applies to sources with AbsenceMeansRemoved and to
-	// indirect sources, but not to endpoints that all sources merely stop listing. None of these removals removes the
+	// one source has stopped listing the endpoints. The limit applies to sources with AbsenceMeansRemoved, to indirect
+	// sources, and to the endpoints together that all sources merely stop listing, of which one may always be removed.
+	// None of these removals removes the
 	// last endpoint. A higher value applies the removals of a source sooner, but lets a faulty source remove more of
 	// the list.
 	MaxRemovalShare float64
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -78,6 +78,7 @@
 	reasonLastEndpoint = "held: it is the last one"
 	reasonShareFormat  = "held: %s may not take out so large a share" // a single removal exceeds MaxRemovalShare
 	reasonWindowFormat = "held: %s has taken out its share"           // one more removal exceeds MaxRemovalShare
+	unlistedCause      = "no longer being listed"                     // in place of a source's name in these formats
 
 	// The following texts are appended to the name of a source.
 	reasonSourceFailed    = " has failed, and may not add" // see source.mayAdd
--- a/internal/discovery/merger.go
+++ b/internal/discovery/merger.go
@@ -9,9 +9,10 @@
 //
 // The removal of an endpoint that a source with SourceConfig.AbsenceMeansRemoved has stopped listing, without reporting
 // its removal, may be deferred, and so may a removal that only an indirect source reports. By such removals a single
-// source can neither empty the list nor remove more than Config.MaxRemovalShare of it within Config.RemovalWindow. An
-// endpoint that all sources merely stop listing is removed at once, unless it is the last one. Other removals are
-// returned at once, additions at most once per Config.AdditionInterval. The newer process of an endpoint that has
+// source can neither empty the list nor remove more than Config.MaxRemovalShare of it within Config.RemovalWindow. The
+// same limit applies to all endpoints together that all sources merely stop listing, but one of them may be removed in
+// each window. Other removals are returned at
+// once, additions at most once per Config.AdditionInterval. The newer process of an endpoint that has
 // restarted is added at once.
 //
 // # Limits
@@ -40,6 +41,8 @@
 	lastAdditionAt time.Duration
 	hasAdded       bool // lastAdditionAt is valid
 	dropped        int  // number of endpoints that were ignored; see Dropped
+	// unlisted has the removals of endpoints that all sources merely stopped listing.
+	unlisted removalBudget
 }
 
 // listedEndpoint is an endpoint of the merged list.
@@ -54,7 +57,12 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	m := &Merger{cfg: cfg, sources: map[string]*source{}, listed: map[string]*listedEndpoint{}}
+	m := &Merger{
+		cfg:      cfg,
+		sources:  map[string]*source{},
+		listed:   map[string]*listedEndpoint{},
+		unlisted: removalBudget{alwaysOne: true},
+	}
 	for _, sourceConfig := range cfg.Sources {
 		s := newSource(sourceConfig)
 		m.sources[s.Name] = s
--- a/internal/discovery/reconcile.go
+++ b/internal/discovery/reconcile.go
@@ -205,8 +205,9 @@
 //
 // This limits how many endpoints the list loses because one source stops listing them: the source may remove
 // Config.MaxRemovalShare of the list within Config.RemovalWindow, and the last endpoint stays. A removal that a source
-// reported explicitly is not deferred, unless the source is indirect. An endpoint without a tombstone, which all
-// sources have stopped listing, is removed unless it is the last one.
+// reported explicitly is not deferred, unless the source is indirect. The endpoints without a tombstone, which all
+// sources have stopped listing, have the same limit together: the list of a source may be partial, as a DNS answer may
+// be.
 func (m *Merger) deferRemoval(now time.Duration, e *Endpoint) (reason string, retryAt time.Duration) {
 	s, confirmed := m.removingSource(e)
 	switch {
@@ -214,18 +215,20 @@
 		return "", 0
 	case len(m.listed) == 1:
 		return reasonLastEndpoint, 0
-	case s == nil:
-		return "", 0
 	}
-	ok, retryAt := s.mayRemoveOne(now, len(m.listed), &m.cfg)
+	budget, cause := &m.unlisted, unlistedCause
+	if s != nil {
+		budget, cause = &s.removals, s.Name
+	}
+	ok, retryAt := budget.mayRemoveOne(now, len(m.listed), &m.cfg)
 	switch {
 	case ok:
-		s.removedAt = append(s.removedAt, now)
+		budget.use(now)
 		return "", 0
 	case retryAt == 0:
-		return fmt.Sprintf(reasonShareFormat, s.Name), 0
+		return fmt.Sprintf(reasonShareFormat, cause), 0
 	}
-	return fmt.Sprintf(reasonWindowFormat, s.Name), retryAt
+	return fmt.Sprintf(reasonWindowFormat, cause), retryAt
 }
 
 // removingSource returns a source that has a tombstone for an endpoint; nil if there is none. confirmed reports
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -20,9 +20,7 @@
 	failedAt   time.Duration        // time of the failure, or notFailed
 	endpoints  map[string]Endpoint  // the source's list, by endpoint key
 	tombstones map[string]tombstone // endpoints that the source has removed, by endpoint key
-	// removedAt holds the times of the removals within Config.RemovalWindow that count towards
-	// Config.MaxRemovalShare, oldest first.
-	removedAt []time.Duration
+	removals   removalBudget        // removals that this source has caused without an explicit report
 }
 
 // tombstone records that a source has removed an endpoint.
@@ -133,24 +131,6 @@
 // already stay there, because the failure of a source is no evidence that they are gone.
 func (s *source) mayAdd(now time.Duration) bool { return !s.hasFailed() || now-s.failedAt < s.StaleTTL }
 
-// mayRemoveOne reports whether the source may remove one more of numListed endpoints. If it may not, retryAt is when
-// the next removal may become possible; 0 means that waiting does not make it possible.
-//
-// The removals of the source within Config.RemovalWindow, including the next one, must not exceed
-// Config.MaxRemovalShare of the endpoints that were listed before them. This prevents a source that reports only a part
-// of its list from removing most endpoints at once, which would overload the remaining ones.
-func (s *source) mayRemoveOne(now time.Duration, numListed int, cfg *Config) (ok bool, retryAt time.Duration) {
-	s.removedAt = slices.DeleteFunc(s.removedAt, func(at time.Duration) bool { return now-at >= cfg.RemovalWindow })
-	numRemoved := len(s.removedAt)
-	if float64(numRemoved+1) <= cfg.MaxRemovalShare*float64(numListed+numRemoved) {
-		return true, 0
-	}
-	if numRemoved == 0 {
-		return false, 0
-	}
-	return false, s.removedAt[0] + cfg.RemovalWindow
-}
-
 // expireTombstones deletes the tombstones whose endpoints no source has listed for ttl. While more than maxTombstones
 // remain, it deletes the one whose endpoint was last listed the longest ago.
 func (s *source) expireTombstones(now, ttl time.Duration, maxTombstones int) {
