Number boots above those of all records if the clock's state is lost

A record of the first boot then looked like one of this boot, its age was the difference of two times that no one clock had measured, and a keyed request could be sent again after its window: its effect could happen twice.

Change: ResumeClock gets the highest boot number of all records beside their latest time, and takes the next one. The stored form is the same.

Measured: TestRandomEvents loses the clock state in one of four restarts now.

--- a/internal/idempotency/clock.go
+++ b/internal/idempotency/clock.go
@@ -30,17 +30,20 @@
 // continues on the boot clock. In another boot it continues at the latest of wall time, the stored state and latest,
 // with the next boot number. This prevents wall time that is set back from extending an idempotency window, and from
 // moving the timeline back. stored is the state that the last run of the program stored, zero if there is none; latest
-// is the latest time of an intent in any record. The caller stores the state of the returned Clock if it differs from
-// stored.
-func ResumeClock(stored ClockState, latest Time, reading Reading) Clock {
+// has the latest time of an intent and the highest boot number in any record. The caller stores the state of the
+// returned Clock if it differs from stored.
+//
+// Guard: prevents a record of an earlier boot from looking like one of this boot, so that a keyed request could be sent
+// again after its window, if the stored state was lost. This holds because no record has the number of a new boot.
+func ResumeClock(stored ClockState, latest Instant, reading Reading) Clock {
 	if stored.BootNumber > 0 && stored.BootID == reading.BootID && reading.Uptime >= stored.Uptime {
 		return Clock{stored}
 	}
 	return Clock{ClockState{
 		BootID:     reading.BootID,
 		Uptime:     reading.Uptime,
-		Time:       max(Time(reading.Wall.UnixMilli()), latest, stored.Time),
-		BootNumber: stored.BootNumber + 1,
+		Time:       max(Time(reading.Wall.UnixMilli()), latest.Time, stored.Time),
+		BootNumber: max(stored.BootNumber, latest.BootNumber) + 1,
 	}}
 }
 
@@ -58,6 +61,11 @@
 	BootNumber uint32
 }
 
+// Max returns the later time and the higher boot number of two instants.
+func (i Instant) Max(other Instant) Instant {
+	return Instant{Time: max(i.Time, other.Time), BootNumber: max(i.BootNumber, other.BootNumber)}
+}
+
 // unknownElapsed is the assumed duration between instants of different boots, which no clock has measured. It is longer
 // than any retention: a shorter one would permit keyed requests to be sent again after a restart of the machine,
 // although their idempotency window may have passed.
--- a/internal/idempotency/harness_test.go
+++ b/internal/idempotency/harness_test.go
@@ -41,6 +41,8 @@
 	maxEntries int
 	// maxUnstored is Config.MaxUnstored.
 	maxUnstored int
+	// clockLost is whether the stored state of the clock cannot be decoded at the next start.
+	clockLost bool
 }
 
 func newMachine(maxEntries int) *machine {
@@ -64,7 +66,7 @@
 		MaxEntries:  m.maxEntries,
 		MaxUnstored: m.maxUnstored,
 	})
-	var latest Time
+	var latest Instant
 	records := map[Fingerprint]Record{}
 	for fp, data := range m.disk {
 		record, err := ParseRecord(data)
@@ -72,12 +74,15 @@
 			t.Fatalf("decoding the record of fingerprint %v: %v", fp, err)
 		}
 		records[fp] = record
-		latest = max(latest, record.Latest())
+		latest = latest.Max(record.Latest())
 	}
 	stored, err := ParseClockState(m.clock.Append(nil))
 	if err != nil || stored != m.clock.ClockState {
 		t.Fatalf("clock state is decoded as %+v, error %v, want %+v", stored, err, m.clock.ClockState)
 	}
+	if m.clockLost {
+		stored = ClockState{}
+	}
 	m.clock = ResumeClock(stored, latest, m.reading)
 	for fp, record := range records {
 		m.tracker.Restore(m.now(), fp, record)
--- a/internal/idempotency/middleware/inspect.go
+++ b/internal/idempotency/middleware/inspect.go
@@ -80,7 +80,7 @@
 	// the error when it opens the store.
 	_ = store.Read(fs, func(key string, value []byte, _ time.Time) {
 		if _, record, ok := parseEntry(key, value); ok {
-			if t := wallTime(record.Latest()); t.After(latest) {
+			if t := wallTime(record.Latest().Time); t.After(latest) {
 				latest = t
 			}
 		}
--- a/internal/idempotency/middleware/middleware.go
+++ b/internal/idempotency/middleware/middleware.go
@@ -118,7 +118,7 @@
 		d.scopes[class.Name] = class.IdempotencyScope
 	}
 	if config.Durability == DurabilityOff {
-		d.clock = idempotency.ResumeClock(idempotency.ClockState{}, 0, config.Clocks())
+		d.clock = idempotency.ResumeClock(idempotency.ClockState{}, idempotency.Instant{}, config.Clocks())
 		return d, nil
 	}
 	if err := d.openLog(logger); err != nil {
--- a/internal/idempotency/middleware/wal.go
+++ b/internal/idempotency/middleware/wal.go
@@ -63,9 +63,9 @@
 	if err != nil {
 		return fmt.Errorf("reading the stored idempotency records: %w", err)
 	}
-	var latest idempotency.Time
+	var latest idempotency.Instant
 	for _, record := range records {
-		latest = max(latest, record.Latest())
+		latest = latest.Max(record.Latest())
 	}
 	d.clock = idempotency.ResumeClock(stored, latest, d.config.Clocks())
 	if d.clock.ClockState != stored {
@@ -86,7 +86,7 @@
 
 // readLog reads the records and the clock's state. It skips records that it cannot decode, and logs their number. If it
 // cannot decode the clock's state, it logs the error and returns the zero state. ResumeClock then continues at the
-// later of wall time and the latest time of an intent in any record.
+// later of wall time and the latest time of an intent in any record, as in a boot after those of all records.
 func (d *Deduplicator) readLog() (map[idempotency.Fingerprint]idempotency.Record, idempotency.ClockState, error) {
 	records := map[idempotency.Fingerprint]idempotency.Record{}
 	var clock idempotency.ClockState
--- a/internal/idempotency/random_test.go
+++ b/internal/idempotency/random_test.go
@@ -123,6 +123,7 @@
 		for name, list := range r.sent {
 			r.sent[name] = slices.DeleteFunc(list, func(a *sentAttempt) bool { return a.unstored })
 		}
+		r.clockLost = arg%4 == 3
 		r.start(r.t)
 	}
 }
--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -30,11 +30,11 @@
 	Locations  []Location
 }
 
-// Latest returns the latest time of an intent in the record.
-func (r *Record) Latest() Time {
-	latest := r.IntendedAt
+// Latest returns the latest time of an intent in the record, and the highest number of a boot.
+func (r *Record) Latest() Instant {
+	latest := Instant{Time: r.IntendedAt}
 	for _, location := range r.Locations {
-		latest = max(latest, location.SentAt)
+		latest = latest.Max(Instant{Time: location.SentAt, BootNumber: location.BootNumber})
 	}
 	return latest
 }
