--- a/internal/controlplane/aggregator.go
+++ b/internal/controlplane/aggregator.go
@@ -123,23 +123,31 @@
 			next = at
 		}
 	}
-	for name, d := range a.disconnected {
-		if now >= d.expiresAt {
-			delete(a.disconnected, name)
-			changed = true
-		} else if next == 0 || d.expiresAt < next {
-			next = d.expiresAt
-		}
-	}
-	for name, w := range a.waiting {
-		if now >= w.expiresAt {
-			delete(a.waiting, name)
+	next, disconnectedExpired := removeExpired(a.disconnected, now, next)
+	next, waitingExpired := removeExpired(a.waiting, now, next)
+	return changed || disconnectedExpired || waitingExpired, next
+}
+
+// expiring is an entry that is removed at a time of its own.
+type expiring interface{ expiry() time.Duration }
+
+func (d disconnectedSubscriber) expiry() time.Duration { return d.expiresAt }
+func (w waitingMember) expiry() time.Duration          { return w.expiresAt }
+
+// removeExpired removes the expired entries and reports whether there were any. It returns the earlier one of next and
+// the time at which the next entry expires, where 0 means that there is none.
+func removeExpired[E expiring](entries map[string]E, now, next time.Duration) (earliest time.Duration, changed bool) {
+	for name, entry := range entries {
+		at := entry.expiry()
+		switch {
+		case now >= at:
+			delete(entries, name)
 			changed = true
-		} else if next == 0 || w.expiresAt < next {
-			next = w.expiresAt
+		case next == 0 || at < next:
+			next = at
 		}
 	}
-	return changed, next
+	return next, changed
 }
 
 // With returns a copy of a to which a subscriber's report was added as by Add. a is unchanged.
